--- /dev/null
+++ b/crates/zinnia-control/src/apply.rs
@@ -0,0 +1,166 @@
+//! What the log thread asks of a member.
+
+use std::sync::Arc;
+use std::sync::Weak;
+
+use zinnia_plan::Batch;
+use zinnia_plan::How;
+use zinnia_plan::Record;
+use zinnia_plan::Reply;
+use zinnia_raft::Entry;
+use zinnia_raft::Payload;
+use zinnia_raft::Role;
+use zinnia_raft::Snapshot;
+use zinnia_replica::Hooks;
+use zinnia_replica::clock;
+
+use crate::engine::Core;
+use crate::engine::Engine;
+
+/// Hooks of the log thread.
+pub(crate) fn hooks(engine: &Arc<Engine>) -> Hooks<Vec<Reply>> {
+    let with = |engine: &Arc<Engine>| Arc::downgrade(engine);
+    let (a, b, c, d, e) = (
+        with(engine),
+        with(engine),
+        with(engine),
+        with(engine),
+        with(engine),
+    );
+    Hooks {
+        send: Box::new(move |to, message| {
+            let Some(engine) = a.upgrade() else {
+                return;
+            };
+            if let Some(addr) = engine.address(to) {
+                let _guard = engine.runtime.enter();
+                engine.links.notify(&addr, "raft", &message);
+            }
+        }),
+        apply: Box::new(move |entry| apply(&b, entry)),
+        install: Box::new(move |snapshot| install(&c, snapshot)),
+        snapshot: Box::new(move || {
+            let engine = d.upgrade()?;
+            let text = serde_json::to_string(&engine.core().state);
+            text.inspect_err(
+                |error| tracing::error!(step = "snapshot", %error, "state cannot be written"),
+            )
+            .ok()
+        }),
+        role: Box::new(move |role, term, leader| {
+            let Some(engine) = e.upgrade() else {
+                return;
+            };
+            let leader = leader.map(|l| l.to_string());
+            tracing::info!(
+                event = "role",
+                ?role,
+                term,
+                leader,
+                "role in the log changed"
+            );
+            if role != Role::Leader {
+                engine.core().lead = None;
+            }
+            engine.kick.notify_one();
+        }),
+    }
+}
+
+fn install(engine: &Weak<Engine>, snapshot: &Snapshot) {
+    let Some(engine) = engine.upgrade() else {
+        return;
+    };
+    if snapshot.data.is_empty() {
+        return;
+    }
+    match serde_json::from_str(snapshot.data.as_str()) {
+        Ok(state) => {
+            tracing::info!(
+                event = "restore",
+                index = snapshot.index,
+                "state restored from a snapshot"
+            );
+            engine.core().state = state;
+        }
+        Err(error) => {
+            tracing::error!(step = "restore", index = snapshot.index, %error, "snapshot is unreadable");
+        }
+    }
+}
+
+fn apply(engine: &Weak<Engine>, entry: &Entry) -> Option<Vec<Reply>> {
+    let engine = engine.upgrade()?;
+    let Payload::Data(data) = &entry.payload else {
+        return None;
+    };
+    let batch: Batch = match serde_json::from_str(data.as_str()) {
+        Ok(batch) => batch,
+        Err(error) => {
+            tracing::error!(step = "apply", index = entry.index, %error, "entry is unreadable");
+            return None;
+        }
+    };
+    let now = clock::now();
+    let mut core = engine.core();
+    let replies = core.state.apply(&batch);
+    if core.lead.is_some() {
+        for (record, reply) in batch.list.iter().zip(&replies) {
+            follow(&engine, &mut core, record, reply, now);
+        }
+        engine.kick.notify_one();
+    }
+    Some(replies)
+}
+
+/// What a leader does once a record is committed.
+fn follow(
+    engine: &Engine,
+    core: &mut Core,
+    record: &Record,
+    reply: &Reply,
+    now: zinnia_types::Time,
+) {
+    let Core {
+        state,
+        lead: Some(lead),
+        ..
+    } = core
+    else {
+        return;
+    };
+    match (record, reply) {
+        (Record::Start(_), Reply::Started(starts)) => {
+            for start in starts {
+                match lead.send(state, start, now) {
+                    Some(call) => {
+                        let _ = engine.orders.send(call);
+                    }
+                    None => tracing::warn!(
+                        event = "start", task = %start.task, run = start.run, worker = start.worker,
+                        "committed start is not sent: the worker has changed"
+                    ),
+                }
+            }
+        }
+        (Record::Ends { worker, list, .. }, _) => {
+            for end in list {
+                let failed = end.how == How::Failed;
+                if failed || end.how == How::Done {
+                    lead.judge(worker, end.task, failed, now);
+                }
+                tracing::info!(
+                    event = "end", task = %end.task, run = end.run, worker, how = ?end.how,
+                    "end noted"
+                );
+            }
+            lead.noted(worker, now);
+        }
+        (Record::Void(list), _) => {
+            for (task, run, _) in list {
+                tracing::info!(event = "void", task = %task, run, "run is certain not to run");
+            }
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/zinnia-control/src/engine.rs
@@ -0,0 +1,98 @@
+//! What a member shares between its tasks and the log thread.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use zinnia_peer::Links;
+use zinnia_plan::Lead;
+use zinnia_plan::Reply;
+use zinnia_plan::StartCall;
+use zinnia_plan::State;
+use zinnia_raft::Node;
+use zinnia_raft::Role;
+use zinnia_replica::Replica;
+use zinnia_replica::clock;
+use zinnia_types::Time;
+use zinnia_types::VmId;
+
+use crate::Settings;
+
+/// State and, on the leader, what it knows beyond it.
+#[derive(Default)]
+pub(crate) struct Core {
+    pub(crate) state: State,
+    pub(crate) lead: Option<Lead>,
+    /// Processes that can ask the outside policy, by address.
+    pub(crate) helpers: BTreeMap<String, Helper>,
+}
+
+/// A process that can ask the outside policy.
+#[derive(Clone, Debug)]
+pub(crate) struct Helper {
+    pub(crate) seen: Time,
+    /// Milliseconds of open questions.
+    pub(crate) load_ms: u64,
+}
+
+/// A member of the log.
+pub(crate) struct Engine {
+    pub(crate) settings: Settings,
+    pub(crate) id: VmId,
+    pub(crate) core: Mutex<Core>,
+    pub(crate) replica: OnceLock<Replica<Vec<Reply>>>,
+    pub(crate) links: Links,
+    pub(crate) runtime: tokio::runtime::Handle,
+    /// Wakes the leader's planning.
+    pub(crate) kick: Notify,
+    /// Start orders that were committed.
+    pub(crate) orders: mpsc::UnboundedSender<StartCall>,
+    /// Peer addresses of processes that are not, or not yet, members.
+    pub(crate) addrs: Mutex<BTreeMap<VmId, String>>,
+}
+
+impl Engine {
+    pub(crate) fn core(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn read<T>(&self, f: impl FnOnce(&Node) -> T) -> Option<T> {
+        self.replica.get().map(|r| r.read(f))
+    }
+
+    /// Whether this process leads, has applied all that was committed, and may answer reads.
+    pub(crate) fn leads(&self) -> bool {
+        let check = |n: &Node| n.is_ready() && n.contact(clock::now());
+        self.read(check).unwrap_or(false)
+    }
+
+    /// Term of the own leadership, if this process leads and has applied what was committed.
+    pub(crate) fn term(&self) -> Option<u64> {
+        self.read(|n| (n.role() == Role::Leader && n.is_ready()).then(|| n.term()))?
+    }
+
+    pub(crate) fn address(&self, vm: VmId) -> Option<String> {
+        let known = self.read(|n| n.members().get(vm).map(|m| m.peer.clone()));
+        known.flatten().or_else(|| {
+            let addrs = self.addrs.lock().unwrap_or_else(PoisonError::into_inner);
+            addrs.get(&vm).cloned()
+        })
+    }
+
+    pub(crate) fn note_address(&self, vm: VmId, addr: &str) {
+        let mut addrs = self.addrs.lock().unwrap_or_else(PoisonError::into_inner);
+        addrs.insert(vm, addr.to_owned());
+    }
+
+    /// Addresses of the leader for other processes and for workers.
+    pub(crate) fn leader(&self) -> Option<(String, String)> {
+        self.read(|n| {
+            let member = n.members().get(n.leader()?)?;
+            Some((member.peer.clone(), member.http.clone()))
+        })?
+    }
+}
--- /dev/null
+++ b/crates/zinnia-control/src/gateway.rs
@@ -0,0 +1,234 @@
+//! Finds the leader and asks it.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tokio::time::sleep;
+use zinnia_peer::Links;
+use zinnia_replica::clock;
+use zinnia_types::Time;
+
+use crate::Answer;
+use crate::Request;
+use crate::engine::Engine;
+use crate::message::Hello;
+use crate::message::Welcome;
+
+/// Pause between two greetings of the leader.
+const GREET: Duration = Duration::from_millis(400);
+/// Longest wait for the answer to a greeting.
+const GREET_LIMIT: Duration = Duration::from_millis(400);
+/// Longest wait for one answer before another process is asked.
+const ATTEMPT: Duration = Duration::from_millis(1_200);
+/// Pause before a process is asked again while there is no leader.
+const AGAIN: Duration = Duration::from_millis(40);
+/// Silence of the leader after which this process does not count as ready.
+const READY_MS: u64 = 1_500;
+/// Pause that a caller is asked for while no leader is known.
+const BUSY_MS: u64 = 1_000;
+
+#[derive(Debug, Default)]
+struct Known {
+    /// Members' addresses for other processes.
+    members: BTreeSet<String>,
+    leader: Option<String>,
+    /// Leader's address for workers and operators.
+    control: Option<String>,
+    /// When the leader last answered.
+    heard: Time,
+    next: usize,
+}
+
+/// Finds the leader and asks it.
+pub struct Gateway {
+    links: Links,
+    hello: Hello,
+    engine: Option<Arc<Engine>>,
+    seeds: Vec<String>,
+    known: Mutex<Known>,
+}
+
+impl Gateway {
+    pub(crate) fn new(
+        links: Links,
+        hello: Hello,
+        seeds: Vec<String>,
+        engine: Option<Arc<Engine>>,
+    ) -> Self {
+        let known = Known {
+            members: seeds.iter().cloned().collect(),
+            ..Known::default()
+        };
+        Self {
+            links,
+            hello,
+            engine,
+            seeds,
+            known: Mutex::new(known),
+        }
+    }
+
+    fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the leader answered lately.
+    pub fn is_ready(&self) -> bool {
+        if self.engine.as_ref().is_some_and(|e| e.leads()) {
+            return true;
+        }
+        let heard = self.known().heard;
+        heard > Time(0) && clock::now().since(heard) < READY_MS
+    }
+
+    /// Leader's address for workers and operators, if known.
+    pub fn control(&self) -> Option<String> {
+        let own = self.engine.as_ref().filter(|e| e.leads());
+        match own {
+            Some(engine) => Some(engine.settings.control.clone()),
+            None => self.known().control.clone(),
+        }
+    }
+
+    /// Asks the leader; gives up after `limit`.
+    ///
+    /// [`Answer::Busy`] is certain not to be carried out, [`Answer::Unknown`] may be.
+    pub async fn ask(&self, request: &Request, limit: Duration) -> Answer {
+        let deadline = Instant::now() + limit;
+        let mut reached = false;
+        loop {
+            if let Some(engine) = self.engine.as_ref().filter(|e| e.leads()) {
+                match engine.serve(request.clone()).await {
+                    Answer::Elsewhere(_) => {}
+                    Answer::Unknown => reached = true,
+                    answer => return answer,
+                }
+            } else if let Some(addr) = self.target() {
+                let left = deadline.saturating_duration_since(Instant::now());
+                let answer = self
+                    .links
+                    .call_within::<_, Answer>(&addr, "ask", request, left.min(ATTEMPT))
+                    .await;
+                match answer {
+                    Ok(Answer::Elsewhere(leader)) => self.moved(&addr, leader),
+                    Ok(Answer::Unknown) => reached = true,
+                    Ok(answer) => return answer,
+                    Err(error) => {
+                        reached |= error.sent;
+                        tracing::info!(event = "ask", peer = addr, error = %error, "no answer from the leader");
+                        self.moved(&addr, None);
+                    }
+                }
+            }
+            if Instant::now() + AGAIN >= deadline {
+                return if reached {
+                    Answer::Unknown
+                } else {
+                    Answer::Busy(BUSY_MS)
+                };
+            }
+            sleep(AGAIN).await;
+        }
+    }
+
+    /// The process to ask: the leader, or one member after the other.
+    fn target(&self) -> Option<String> {
+        let mut known = self.known();
+        if let Some(leader) = &known.leader {
+            return Some(leader.clone());
+        }
+        known.next = known.next.wrapping_add(1);
+        let others: Vec<&String> = known
+            .members
+            .iter()
+            .filter(|a| **a != self.hello.peer)
+            .collect();
+        let at = known.next.checked_rem(others.len())?;
+        others.get(at).map(|a| (*a).clone())
+    }
+
+    /// Notes that `addr` does not lead, and who may.
+    fn moved(&self, addr: &str, leader: Option<String>) {
+        let mut known = self.known();
+        if known.leader.as_deref() == Some(addr) || known.leader.is_none() {
+            known.leader = leader.filter(|l| l != addr);
+        }
+    }
+
+    /// Greets the leader as long as the process runs.
+    pub(crate) async fn greet(self: Arc<Self>) {
+        let mut lost = false;
+        loop {
+            self.greet_once().await;
+            let ready = self.is_ready();
+            if ready == lost {
+                lost = !ready;
+                let leader = self.known().leader.clone();
+                if ready {
+                    tracing::info!(event = "leader", leader, "leader is in reach");
+                } else {
+                    tracing::warn!(event = "leader", "no leader is in reach");
+                }
+            }
+            let pause = if ready { GREET } else { GREET / 4 };
+            sleep(pause).await;
+        }
+    }
+
+    async fn greet_once(&self) {
+        let Some(addr) = self.target() else {
+            return;
+        };
+        if self.engine.as_ref().is_some_and(|e| e.leads()) {
+            return;
+        }
+        let answer = self
+            .links
+            .call_within::<_, Welcome>(&addr, "hello", &self.hello, GREET_LIMIT)
+            .await;
+        match answer {
+            Ok(welcome) => self.welcome(&addr, welcome),
+            Err(_) => self.moved(&addr, None),
+        }
+    }
+
+    fn welcome(&self, addr: &str, welcome: Welcome) {
+        if let Some(engine) = &self.engine {
+            for (id, peer) in &welcome.members {
+                engine.note_address(*id, peer);
+            }
+        }
+        let mut known = self.known();
+        if !welcome.members.is_empty() {
+            known.members = self.seeds.iter().cloned().collect();
+            known
+                .members
+                .extend(welcome.members.into_iter().map(|(_, a)| a));
+        }
+        if welcome.ready {
+            known.leader = Some(addr.to_owned());
+            known.control = welcome.control;
+            known.heard = clock::now();
+        } else {
+            known.leader = welcome.leader.filter(|l| l != addr);
+        }
+    }
+
+    /// State for a dump.
+    pub fn dump(&self) -> BTreeMap<&'static str, String> {
+        let known = self.known();
+        BTreeMap::from([
+            ("leader", known.leader.clone().unwrap_or_default()),
+            (
+                "members",
+                known.members.iter().cloned().collect::<Vec<_>>().join(" "),
+            ),
+        ])
+    }
+}
--- /dev/null
+++ b/crates/zinnia-control/src/lead.rs
@@ -0,0 +1,254 @@
+//! The leader's loop: plans, proposes, and carries out what was decided.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use zinnia_plan::Batch;
+use zinnia_plan::Hold;
+use zinnia_plan::Lead;
+use zinnia_plan::Outcome;
+use zinnia_plan::Plan;
+use zinnia_plan::Question;
+use zinnia_plan::Record;
+use zinnia_plan::Reply;
+use zinnia_plan::StartCall;
+use zinnia_plan::StepId;
+use zinnia_replica::Verdict;
+use zinnia_replica::clock;
+
+use crate::Port;
+use crate::engine::Engine;
+
+/// Longest pause between two passes of the leader.
+const PASS: Duration = Duration::from_millis(50);
+/// Least pause between two passes, so that one pass serves several events.
+const PAUSE: Duration = Duration::from_millis(5);
+/// Longest wait for an entry of the leader's own; a step down ends the wait earlier.
+const PROPOSE: Duration = Duration::from_secs(20);
+/// Silence after which a process gets no more questions for the policy.
+const HELPER_MS: u64 = 1_500;
+/// Longest time that a question to the policy may take beyond its cost.
+const ADVICE_SLACK_MS: u64 = 700;
+
+/// Proposes records; `None` when the outcome is not known.
+pub(crate) async fn propose(
+    engine: &Engine,
+    list: Vec<Record>,
+    limit: Duration,
+) -> Option<Verdict<Vec<Reply>>> {
+    let batch = Batch {
+        at_ms: clock::wall_ms(),
+        list,
+    };
+    let text = match serde_json::to_string(&batch) {
+        Ok(text) => text,
+        Err(error) => {
+            tracing::error!(step = "propose", %error, "records cannot be written");
+            return None;
+        }
+    };
+    engine.replica.get()?.propose(text, limit).await
+}
+
+/// Runs as long as the process; works while this process leads.
+pub(crate) async fn run(
+    engine: Arc<Engine>,
+    port: Port,
+    mut orders: mpsc::UnboundedReceiver<StartCall>,
+) {
+    let starting = Arc::new(AtomicBool::new(false));
+    loop {
+        tokio::select! {
+            () = engine.kick.notified() => {}
+            Some(call) = orders.recv() => {
+                start(&engine, &port, call);
+                continue;
+            }
+            () = tokio::time::sleep(PASS) => {}
+        }
+        while let Ok(call) = orders.try_recv() {
+            start(&engine, &port, call);
+        }
+        if let Some(plan) = pass(&engine, &starting) {
+            carry_out(&engine, &port, plan, &starting);
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+/// One pass of the leader; `None` on a process that does not lead.
+fn pass(engine: &Arc<Engine>, starting: &AtomicBool) -> Option<Plan> {
+    let term = engine.term()?;
+    // Without the lease another leader may act already.
+    if !engine.leads() {
+        return None;
+    }
+    let now = clock::now();
+    let mut core = engine.core();
+    let core = &mut *core;
+    if core.lead.is_none() {
+        tracing::info!(
+            event = "lead",
+            term,
+            jobs = core.state.live.len(),
+            workers = core.state.workers.len(),
+            "leadership begins"
+        );
+        core.lead = Some(Lead::new(engine.settings.plan.clone(), term, now));
+        starting.store(false, Ordering::Relaxed);
+    }
+    let lead = core.lead.as_mut()?;
+    let may_start = !starting.load(Ordering::Relaxed);
+    Some(lead.plan(&core.state, may_start, now, clock::wall_ms()))
+}
+
+fn carry_out(engine: &Arc<Engine>, port: &Port, plan: Plan, starting: &Arc<AtomicBool>) {
+    if !plan.records.is_empty() {
+        record(engine, plan.records);
+    }
+    if !plan.starts.is_empty() {
+        starting.store(true, Ordering::Relaxed);
+        let (engine, starting) = (Arc::clone(engine), Arc::clone(starting));
+        tokio::spawn(async move {
+            let verdict = propose(&engine, vec![Record::Start(plan.starts)], PROPOSE).await;
+            if !matches!(verdict, Some(Verdict::Applied { .. })) {
+                tracing::warn!(event = "start", "starts were not committed");
+            }
+            starting.store(false, Ordering::Relaxed);
+            engine.kick.notify_one();
+        });
+    }
+    for hold in plan.holds {
+        ask(engine, port, hold);
+    }
+    for call in plan.stops {
+        tracing::info!(event = "stop", task = %call.task, run = call.run, worker = call.worker, "run is told to stop");
+        tokio::spawn((port.stop)(call));
+    }
+    for question in plan.questions {
+        advise(engine, port, question);
+    }
+}
+
+/// Proposes records whose outcome shows in the state.
+fn record(engine: &Arc<Engine>, list: Vec<Record>) {
+    let engine = Arc::clone(engine);
+    tokio::spawn(async move {
+        if propose(&engine, list, PROPOSE).await.is_none() {
+            tracing::warn!(event = "record", "outcome of a proposal is not known");
+        }
+    });
+}
+
+fn start(engine: &Arc<Engine>, port: &Port, order: StartCall) {
+    let call = order.call.clone();
+    let outcome = (port.start)(order);
+    let engine = Arc::clone(engine);
+    tokio::spawn(async move {
+        let outcome = outcome.await;
+        tracing::info!(
+            event = "start", task = %call.task, run = call.run, worker = call.worker,
+            fence = call.fence, outcome = ?outcome, "start order answered"
+        );
+        let record_of = {
+            let mut core = engine.core();
+            let now = clock::now();
+            core.lead
+                .as_mut()
+                .and_then(|l| l.started(&call, &outcome, now))
+        };
+        if let Some(found) = record_of {
+            record(&engine, vec![found]);
+        }
+        if outcome == Outcome::Unknown {
+            engine.kick.notify_one();
+        }
+    });
+}
+
+fn ask(engine: &Arc<Engine>, port: &Port, hold: Hold) {
+    let answer = (port.hold)(hold.clone());
+    let engine = Arc::clone(engine);
+    tokio::spawn(async move {
+        let report = answer.await;
+        let records = {
+            let mut core = engine.core();
+            let core = &mut *core;
+            let now = clock::now();
+            match core.lead.as_mut() {
+                Some(lead) => lead.reported(&core.state, &hold, report.as_ref(), now),
+                None => Vec::new(),
+            }
+        };
+        if !records.is_empty() {
+            record(&engine, records);
+        }
+        engine.kick.notify_one();
+    });
+}
+
+/// Lets the process with the least open questions ask the policy, which serves the questions of one
+/// machine one after the other.
+fn advise(engine: &Arc<Engine>, port: &Port, question: Question) {
+    let now = clock::now();
+    let own = engine.settings.peer.to_string();
+    let chosen = {
+        let mut core = engine.core();
+        core.helpers
+            .retain(|addr, h| *addr == own || now.since(h.seen) < HELPER_MS);
+        let least = core.helpers.iter_mut().min_by_key(|(_, h)| h.load_ms);
+        least.map(|(addr, helper)| {
+            helper.load_ms += question.cost_ms;
+            (addr.clone(), helper.load_ms)
+        })
+    };
+    let (addr, load_ms) = chosen.unwrap_or((own.clone(), question.cost_ms));
+    let (engine, port) = (Arc::clone(engine), port.clone());
+    tokio::spawn(async move {
+        let limit = Duration::from_millis(load_ms + ADVICE_SLACK_MS);
+        let granted = ask_policy(&engine, &port, &addr, &own, &question, limit).await;
+        let now_done = clock::now();
+        tracing::info!(
+            event = "advice", step = %question.step, asked = question.workers.len(),
+            granted = granted.as_ref().map(Vec::len), via = addr, ms = now_done.since(now),
+            "policy answered"
+        );
+        let mut core = engine.core();
+        if let Some(helper) = core.helpers.get_mut(&addr) {
+            helper.load_ms = helper.load_ms.saturating_sub(question.cost_ms);
+        }
+        if let Some(lead) = core.lead.as_mut() {
+            lead.advised(&question, granted, now, now_done);
+        }
+        drop(core);
+        engine.kick.notify_one();
+    });
+}
+
+async fn ask_policy(
+    engine: &Engine,
+    port: &Port,
+    addr: &str,
+    own: &str,
+    question: &Question,
+    limit: Duration,
+) -> Option<Vec<(String, String)>> {
+    let step: StepId = question.step;
+    let workers = question.workers.clone();
+    if addr == own {
+        return tokio::time::timeout(limit, (port.advise)(step, workers))
+            .await
+            .ok()?;
+    }
+    let query = (step.job, step.round, step.step, workers);
+    let answer = engine
+        .links
+        .call_within(addr, "advise", &query, limit)
+        .await;
+    answer
+        .inspect_err(|error| tracing::warn!(event = "advice", step = %step, %error, "no answer through a helper"))
+        .ok()?
+}
--- /dev/null
+++ b/crates/zinnia-control/src/member.rs
@@ -0,0 +1,228 @@
+//! A member of the log: its store, and changes of the members.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use anyhow::Context;
+use anyhow::Result;
+use serde_json::Value;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use zinnia_peer::Links;
+use zinnia_raft::Change;
+use zinnia_raft::Members;
+use zinnia_raft::Node;
+use zinnia_raft::Peer;
+use zinnia_raft::Recovered;
+use zinnia_raft::Snapshot;
+use zinnia_replica::Replica;
+use zinnia_replica::clock;
+use zinnia_store::Identity;
+use zinnia_store::Store;
+use zinnia_types::VmId;
+
+use crate::Port;
+use crate::Settings;
+use crate::apply::hooks;
+use crate::engine::Core;
+use crate::engine::Engine;
+use crate::engine::Helper;
+use crate::message::Hello;
+
+/// Name of the cell in the store.
+const CLUSTER: &str = "zinnia";
+/// Pause between two checks of the members.
+const CHECK: Duration = Duration::from_millis(500);
+/// Longest wait for a change of the members.
+const CHANGE: Duration = Duration::from_secs(2);
+
+/// A member of the log.
+pub struct Member {
+    pub(crate) engine: Arc<Engine>,
+}
+
+impl Member {
+    /// Opens the store and starts the member's tasks.
+    pub(crate) fn start(settings: &Settings, port: &Port) -> Result<Self> {
+        let dir = settings
+            .data
+            .as_ref()
+            .context("a member has a data folder")?;
+        let own = settings.peer.to_string();
+        let founds = settings.bootstrap && settings.seeds.contains(&own);
+        let wanted = Identity {
+            id: if founds {
+                Settings::founder(&own)
+            } else {
+                VmId(getrandom::u64().map_err(|e| anyhow::anyhow!("random id: {e}"))?)
+            },
+            cluster: CLUSTER.to_owned(),
+        };
+        let (mut store, mut recovered) = Store::open(dir, &wanted).context("open the store")?;
+        if store.is_fresh() && founds {
+            found(settings, &mut store, &mut recovered)?;
+        }
+        let id = store.identity().id;
+        tracing::info!(
+            event = "store", id = %id, fresh = store.is_fresh(), founds,
+            entries = recovered.entries.len(), commit = recovered.hard.commit, "store opened"
+        );
+        let (orders, queue) = mpsc::unbounded_channel();
+        let links = Links::new(settings.links()?, id);
+        let mut core = Core::default();
+        let helper = Helper {
+            seen: clock::now(),
+            load_ms: 0,
+        };
+        core.helpers.insert(own, helper);
+        let engine = Arc::new(Engine {
+            settings: settings.clone(),
+            id,
+            core: Mutex::new(core),
+            replica: OnceLock::new(),
+            links,
+            runtime: tokio::runtime::Handle::current(),
+            kick: Notify::new(),
+            orders,
+            addrs: Mutex::default(),
+        });
+        let log = zinnia_raft::Settings {
+            id,
+            heartbeat_ms: settings.heartbeat_ms,
+            election_min_ms: settings.election_ms.0,
+            election_max_ms: settings.election_ms.1,
+            lease_ms: settings.log_lease_ms(),
+            ..zinnia_raft::Settings::default()
+        };
+        let replica = Replica::start(
+            log,
+            Some(store),
+            recovered,
+            settings.compact_entries,
+            hooks(&engine),
+        )
+        .context("start the log thread")?;
+        let _ = engine.replica.set(replica);
+        tokio::spawn(crate::lead::run(Arc::clone(&engine), port.clone(), queue));
+        tokio::spawn(tend(Arc::clone(&engine)));
+        Ok(Self { engine })
+    }
+
+    /// Ends the log thread and releases the data folder.
+    pub async fn stop(&self) {
+        if let Some(replica) = self.engine.replica.get() {
+            replica.stop().await;
+        }
+    }
+
+    /// State for a dump.
+    pub fn dump(&self) -> Value {
+        let core = self.engine.core();
+        serde_json::json!({
+            "log": self.engine.replica.get().map(Replica::dump),
+            "jobs": core.state.jobs.len(),
+            "live": core.state.live.len(),
+            "workers": core.state.workers,
+            "usage": core.state.usage,
+            "contacts": core.lead.as_ref().map(zinnia_plan::Lead::dump),
+        })
+    }
+}
+
+/// Forms the cell from the seeds; all founders derive the same members.
+fn found(settings: &Settings, store: &mut Store, recovered: &mut Recovered) -> Result<()> {
+    let member = |addr: &String| zinnia_raft::Member {
+        id: Settings::founder(addr),
+        peer: addr.clone(),
+        http: String::new(),
+        voter: true,
+    };
+    let members: Vec<_> = settings.seeds.iter().map(member).collect();
+    let snapshot = Snapshot::initial(Members::from(members));
+    store
+        .save_snapshot(&snapshot)
+        .context("save the first snapshot")?;
+    recovered.snapshot = Some(snapshot);
+    Ok(())
+}
+
+/// Takes a member in that the cell does not list, or not at its present addresses.
+pub(crate) fn admit(engine: &Arc<Engine>, vm: VmId, hello: &Hello) {
+    let same = engine.read(|n| {
+        n.changing()
+            || n.members()
+                .get(vm)
+                .is_some_and(|m| m.peer == hello.peer && m.http == hello.control)
+    });
+    if same.unwrap_or(true) {
+        return;
+    }
+    let change = Change::Add(zinnia_raft::Member {
+        id: vm,
+        peer: hello.peer.clone(),
+        http: hello.control.clone(),
+        voter: false,
+    });
+    let engine = Arc::clone(engine);
+    tokio::spawn(async move { make(&engine, change).await });
+}
+
+async fn make(engine: &Engine, change: Change) {
+    let Some(replica) = engine.replica.get() else {
+        return;
+    };
+    let text = format!("{change:?}");
+    let verdict = replica.change(change, CHANGE).await;
+    tracing::info!(event = "members", change = text, outcome = ?verdict, "change of the members");
+}
+
+/// Lets caught-up members vote and takes out voters that are gone, as long as this process leads.
+async fn tend(engine: Arc<Engine>) {
+    loop {
+        tokio::time::sleep(CHECK).await;
+        if engine.leads()
+            && let Some(Some(change)) = engine.read(|n| next_change(n, &engine.settings, engine.id))
+        {
+            make(&engine, change).await;
+        }
+    }
+}
+
+/// The next change that the members need, if any.
+fn next_change(node: &Node, settings: &Settings, own: VmId) -> Option<Change> {
+    if node.changing() {
+        return None;
+    }
+    let members = node.members();
+    let peers = node.peers();
+    let own_missing = members.get(own).is_some_and(|m| m.http != settings.control);
+    if own_missing {
+        let member = members.get(own)?.clone();
+        return Some(Change::Add(zinnia_raft::Member {
+            http: settings.control.clone(),
+            ..member
+        }));
+    }
+    let addr = |id: VmId| members.get(id).map(|m| m.peer.as_str());
+    // Two identities at one address: the disk of the older one is lost.
+    let wiped = peers.iter().find(|p| {
+        let twin = peers
+            .iter()
+            .any(|q| q.id != p.id && addr(q.id) == addr(p.id) && q.silent_ms < p.silent_ms);
+        twin && p.silent_ms > settings.election_ms.1
+    });
+    if let Some(peer) = wiped {
+        return Some(Change::Remove(peer.id));
+    }
+    let ready = |p: &&Peer| !p.voter && p.caught_up;
+    let learner = peers.iter().find(ready)?;
+    if members.voters().count() < settings.voters {
+        return Some(Change::Promote(learner.id));
+    }
+    let silent = peers
+        .iter()
+        .find(|p| p.voter && p.silent_ms > settings.replace_ms)?;
+    Some(Change::Remove(silent.id))
+}
--- /dev/null
+++ b/crates/zinnia-control/src/peers.rs
@@ -0,0 +1,190 @@
+//! A process: messages of other processes, and the parts that run in it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use anyhow::Result;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use serde_json::value::RawValue;
+use zinnia_peer::Links;
+use zinnia_peer::Server;
+use zinnia_plan::StepId;
+use zinnia_replica::clock;
+use zinnia_types::Code;
+use zinnia_types::ErrorBody;
+use zinnia_types::JobId;
+use zinnia_types::VmId;
+
+use crate::Gateway;
+use crate::Member;
+use crate::Port;
+use crate::Request;
+use crate::Settings;
+use crate::engine::Engine;
+use crate::engine::Helper;
+use crate::message::Hello;
+use crate::message::Welcome;
+
+/// A running process.
+pub struct Process {
+    /// Way to the leader.
+    pub gateway: Arc<Gateway>,
+    /// The member of the log, on a process that keeps it.
+    pub member: Option<Member>,
+    _server: Server,
+}
+
+impl Process {
+    /// Starts the parts that the settings ask for.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the data folder or the address for other processes cannot be used.
+    pub async fn start(settings: Settings, port: Port) -> Result<Self> {
+        let links = settings.links()?;
+        let member = match &settings.data {
+            Some(_) => Some(Member::start(&settings, &port)?),
+            None => None,
+        };
+        let engine = member.as_ref().map(|m| Arc::clone(&m.engine));
+        let me = engine
+            .as_ref()
+            .map_or_else(|| Settings::founder(&links.addr), |e| e.id);
+        let to = match &engine {
+            Some(engine) => engine.links.clone(),
+            None => Links::new(links.clone(), me),
+        };
+        let hello = Hello {
+            peer: settings.peer.to_string(),
+            control: settings.control.clone(),
+            member: engine.is_some(),
+        };
+        let gateway = Arc::new(Gateway::new(
+            to,
+            hello,
+            settings.seeds.clone(),
+            engine.clone(),
+        ));
+        let handler = move |vm: VmId, method: String, value: Box<RawValue>| {
+            handle(engine.clone(), port.clone(), vm, method, value)
+        };
+        let server = zinnia_peer::serve(settings.peer, links, handler)
+            .await
+            .with_context(|| format!("listen on {}", settings.peer))?;
+        tokio::spawn(Arc::clone(&gateway).greet());
+        Ok(Self {
+            gateway,
+            member,
+            _server: server,
+        })
+    }
+}
+
+fn decode<T: DeserializeOwned>(value: &RawValue) -> Result<T, ErrorBody> {
+    serde_json::from_str(value.get())
+        .map_err(|e| ErrorBody::new(Code::BadRequest, "decode", e.to_string()))
+}
+
+fn encode<T: serde::Serialize>(value: &T) -> Result<Value, ErrorBody> {
+    serde_json::to_value(value).map_err(|e| ErrorBody::new(Code::Internal, "encode", e.to_string()))
+}
+
+/// Takes a message of another process.
+///
+/// Messages of the log are handed over before the future is returned, so that they keep their order.
+fn handle(
+    engine: Option<Arc<Engine>>,
+    port: Port,
+    vm: VmId,
+    method: String,
+    value: Box<RawValue>,
+) -> impl Future<Output = Result<Value, ErrorBody>> + Send {
+    let raft = method == "raft";
+    if raft && let Some(replica) = engine.as_ref().and_then(|e| e.replica.get()) {
+        match decode(&value) {
+            Ok(message) => replica.receive(vm, message),
+            Err(error) => {
+                tracing::warn!(event = "raft", peer = %vm, %error, "message is unreadable")
+            }
+        }
+    }
+    async move {
+        match (method.as_str(), engine) {
+            ("raft", _) => Ok(Value::Null),
+            ("advise", _) => {
+                let (job, round, step, workers): (JobId, u32, u32, Vec<String>) = decode(&value)?;
+                let step = StepId { job, round, step };
+                encode(&(port.advise)(step, workers).await)
+            }
+            ("ask", Some(engine)) => {
+                let request: Request = decode(&value)?;
+                encode(&engine.serve(request).await)
+            }
+            ("hello", Some(engine)) => {
+                let hello: Hello = decode(&value)?;
+                encode(&welcome(&engine, vm, &hello))
+            }
+            _ => {
+                let why = format!("this process does not serve {method}");
+                Err(ErrorBody::new(Code::Unavailable, "handle", why))
+            }
+        }
+    }
+}
+
+fn welcome(engine: &Arc<Engine>, vm: VmId, hello: &Hello) -> Welcome {
+    let ready = engine.leads();
+    if hello.member {
+        engine.note_address(vm, &hello.peer);
+    }
+    if ready {
+        let mut core = engine.core();
+        let helper = Helper {
+            seen: clock::now(),
+            load_ms: 0,
+        };
+        core.helpers
+            .entry(hello.peer.clone())
+            .or_insert(helper)
+            .seen = clock::now();
+        drop(core);
+        if hello.member {
+            crate::member::admit(engine, vm, hello);
+        }
+    }
+    let leader = engine.leader();
+    let members = engine.read(|n| {
+        let row = |m: &zinnia_raft::Member| (m.id, m.peer.clone());
+        n.members().iter().map(row).collect()
+    });
+    Welcome {
+        control: leader.as_ref().map(|(_, control)| control.clone()),
+        leader: leader.map(|(peer, _)| peer),
+        members: members.unwrap_or_default(),
+        ready,
+    }
+}
+
+impl Process {
+    /// State for a dump.
+    pub fn dump(&self) -> Value {
+        let member = self.member.as_ref().map(Member::dump);
+        let gateway: BTreeMap<_, _> = self.gateway.dump();
+        serde_json::json!({ "gateway": gateway, "member": member })
+    }
+
+    /// Ends the process's part in the log.
+    pub async fn stop(&self) {
+        /// Longest wait for the log thread.
+        const LIMIT: Duration = Duration::from_secs(1);
+        if let Some(member) = &self.member {
+            let stopped = tokio::time::timeout(LIMIT, member.stop()).await;
+            if stopped.is_err() {
+                tracing::warn!(event = "stop", "the log thread did not end in time");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinnia-control/src/serve.rs
@@ -0,0 +1,189 @@
+//! Answers requests as the leader.
+
+use std::time::Duration;
+
+use zinnia_plan::Record;
+use zinnia_plan::Reply;
+use zinnia_replica::Verdict;
+use zinnia_replica::clock;
+use zinnia_types::JobId;
+
+use crate::Answer;
+use crate::Ask;
+use crate::Request;
+use crate::View;
+use crate::engine::Engine;
+use crate::lead::propose;
+
+/// Longest wait for an entry on behalf of a request.
+const COMMIT: Duration = Duration::from_millis(2_000);
+/// Pause that a caller is asked for when the log takes no more.
+const BUSY_MS: u64 = 1_000;
+
+/// What a caller's request means under the document in force.
+enum Meaning {
+    Answer(Answer),
+    Record(Record),
+}
+
+impl Engine {
+    /// Answers a request, or names the leader.
+    pub(crate) async fn serve(&self, request: Request) -> Answer {
+        if !self.leads() {
+            return Answer::Elsewhere(self.leader().map(|(peer, _)| peer));
+        }
+        match request {
+            Request::Ask(ask) => match self.meaning(ask) {
+                Meaning::Answer(answer) => self.if_leading(answer),
+                Meaning::Record(record) => self.commit(record).await,
+            },
+            Request::Publish { raw, document } => {
+                if let Some(fault) = document.fault() {
+                    return Answer::Invalid(fault.to_string());
+                }
+                tracing::info!(
+                    event = "document",
+                    version = document.version,
+                    held = self.core().state.document.version,
+                    "document received"
+                );
+                self.commit(Record::Document { raw, document }).await
+            }
+            Request::Read => {
+                let raw = self.core().state.raw.clone();
+                let answer = if raw.is_empty() {
+                    Answer::Busy(BUSY_MS)
+                } else {
+                    Answer::Document(raw)
+                };
+                self.if_leading(answer)
+            }
+            Request::Beat(beat) => {
+                let record = {
+                    let mut core = self.core();
+                    let core = &mut *core;
+                    let Some(lead) = core.lead.as_mut() else {
+                        return Answer::Busy(BUSY_MS);
+                    };
+                    lead.beat(&core.state, &beat, clock::now())
+                };
+                self.kick.notify_one();
+                match record {
+                    Some(record) => {
+                        tracing::info!(
+                            event = "worker",
+                            worker = beat.life.worker,
+                            born = beat.life.born,
+                            pool = beat.life.pool,
+                            "worker announced itself"
+                        );
+                        self.commit(record).await
+                    }
+                    None => Answer::Done,
+                }
+            }
+            Request::Leave { worker, born } => {
+                let known = self.core().state.workers.get(&worker).map(|w| w.life.born);
+                let Some(known) = known.filter(|k| born.is_none_or(|b| b == *k)) else {
+                    return Answer::Done;
+                };
+                tracing::info!(event = "worker", worker, born = known, "worker left");
+                self.commit(Record::Left {
+                    worker,
+                    born: known,
+                })
+                .await
+            }
+        }
+    }
+
+    /// A read counts only if this process still led after it.
+    fn if_leading(&self, answer: Answer) -> Answer {
+        if self.leads() {
+            answer
+        } else {
+            Answer::Elsewhere(None)
+        }
+    }
+
+    fn meaning(&self, ask: Ask) -> Meaning {
+        let core = self.core();
+        let state = &core.state;
+        let document = &state.document;
+        if document.version == 0 {
+            return Meaning::Answer(Answer::Busy(BUSY_MS));
+        }
+        let Some(queue) = document.route(&ask.host, &ask.path) else {
+            return Meaning::Answer(Answer::NoQueue);
+        };
+        let team = ask.key.as_deref().and_then(|k| document.team_of(k));
+        if team.is_none() && !queue.public {
+            return Meaning::Answer(Answer::NoKey);
+        }
+        let team = team.map(|t| t.name.clone()).unwrap_or_default();
+        let rest = ask.path.strip_prefix(&queue.prefix).unwrap_or_default();
+        if rest.is_empty() && ask.view == View::Get {
+            return Meaning::Answer(Answer::Pending(state.pending(&queue.name)));
+        }
+        let Some(id) = job_id(rest) else {
+            return Meaning::Answer(Answer::NoQueue);
+        };
+        match ask.view {
+            View::Submit(Ok(spec)) => match spec.problem() {
+                Some(why) => Meaning::Answer(Answer::Invalid(why)),
+                None => Meaning::Record(Record::Submit {
+                    id,
+                    queue: queue.name.clone(),
+                    team,
+                    spec,
+                }),
+            },
+            View::Submit(Err(why)) => Meaning::Answer(Answer::Invalid(why)),
+            View::Cancel if !state.jobs.contains_key(&id) => Meaning::Answer(Answer::Gone),
+            View::Cancel => Meaning::Record(Record::Cancel(id)),
+            View::Get => Meaning::Answer(match state.jobs.get(&id) {
+                Some(job) => Answer::Job {
+                    status: job.status,
+                    begun: job.begun,
+                },
+                None => Answer::Gone,
+            }),
+        }
+    }
+
+    async fn commit(&self, record: Record) -> Answer {
+        let id = match &record {
+            Record::Submit {
+                id, queue, team, ..
+            } => Some(("submit", *id, queue.clone(), team.clone())),
+            Record::Cancel(id) => Some(("cancel", *id, String::new(), String::new())),
+            _ => None,
+        };
+        let verdict = propose(self, vec![record], COMMIT).await;
+        let answer = match verdict {
+            Some(Verdict::Applied { reply, .. }) => {
+                match reply.and_then(|r| r.into_iter().next()) {
+                    Some(Reply::Conflict) => Answer::Conflict,
+                    Some(Reply::Unknown) => Answer::Gone,
+                    Some(_) => Answer::Done,
+                    None => Answer::Unknown,
+                }
+            }
+            Some(Verdict::Rejected { why, .. }) => {
+                tracing::info!(event = "refuse", ?why, "the log refused an entry");
+                Answer::Elsewhere(None)
+            }
+            None => Answer::Unknown,
+        };
+        if let Some((event, id, queue, team)) = id {
+            tracing::info!(event, job = %id, queue, team, answer = ?answer, "job request decided");
+        }
+        answer
+    }
+}
+
+/// The id that follows a queue's prefix: 16 hexadecimal digits in lower case.
+fn job_id(text: &str) -> Option<JobId> {
+    let id: JobId = text.parse().ok()?;
+    (id.to_string() == text).then_some(id)
+}
--- /dev/null
+++ b/crates/zinnia-control/src/settings.rs
@@ -0,0 +1,91 @@
+//! Settings of a process.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use zinnia_types::VmId;
+
+/// Settings of a process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Own address for other processes.
+    pub peer: SocketAddr,
+    /// Own address for workers and operators; empty for a process that serves neither.
+    pub control: String,
+    /// Addresses for other processes of some members of the log.
+    pub seeds: Vec<String>,
+    /// Folder for the log; a process without one is no member.
+    pub data: Option<PathBuf>,
+    /// Whether the cell starts for the first time, so that the seeds form it.
+    pub bootstrap: bool,
+    /// Voters that the cell should have.
+    pub voters: usize,
+    /// Key that all processes of the cell share.
+    pub key: String,
+    /// Heartbeat interval of the log.
+    pub heartbeat_ms: u64,
+    /// Shortest and longest election timeout.
+    pub election_ms: (u64, u64),
+    /// Entries between two snapshots.
+    pub compact_entries: u64,
+    /// Silence after which a voter is replaced when another process can take its place.
+    pub replace_ms: u64,
+    /// Times of the leader's decisions.
+    pub plan: zinnia_plan::Settings,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            peer: SocketAddr::from(([127, 0, 0, 1], 0)),
+            control: String::new(),
+            seeds: Vec::new(),
+            data: None,
+            bootstrap: false,
+            voters: 3,
+            key: String::new(),
+            heartbeat_ms: 100,
+            election_ms: (600, 1_100),
+            compact_entries: 4_000,
+            replace_ms: 4_000,
+            plan: zinnia_plan::Settings::default(),
+        }
+    }
+}
+
+impl Settings {
+    /// How long the leader may answer reads after it last heard from a quorum.
+    pub(crate) fn log_lease_ms(&self) -> u64 {
+        self.election_ms.0 * 3 / 4
+    }
+
+    /// Settings of the links between processes.
+    pub(crate) fn links(&self) -> anyhow::Result<zinnia_peer::Settings> {
+        let key = zinnia_peer::ClusterKey::new(&self.key)?;
+        Ok(zinnia_peer::Settings {
+            addr: self.peer.to_string(),
+            call_timeout: Duration::from_secs(1),
+            connect_timeout: Duration::from_millis(500),
+            max_connections: 256,
+            backoff: zinnia_peer::Backoff {
+                first: Duration::from_millis(20),
+                limit: Duration::from_millis(300),
+            },
+            ping: zinnia_peer::Ping {
+                interval: Duration::from_millis(1_000),
+                limit: Duration::from_millis(2_500),
+            },
+            ..zinnia_peer::Settings::new(key)
+        })
+    }
+
+    /// Identity of a founding member: every founder derives the same one from the address, so that
+    /// the seeds form one cell without talking to each other first.
+    pub(crate) fn founder(addr: &str) -> VmId {
+        const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+        const PRIME: u64 = 0x0100_0000_01b3;
+        let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(PRIME);
+        VmId(addr.bytes().fold(OFFSET, mix))
+    }
+}
--- a/crates/zinnia-daemon/src/acting.rs
+++ b/crates/zinnia-daemon/src/acting.rs
@@ -10,6 +10,7 @@
 use zinnia_cell::Live;
 use zinnia_cell::TaskEnd;
 use zinnia_cell::escrow::Peak;
+use zinnia_replica::clock;
 use zinnia_sched::Action;
 use zinnia_sched::Event;
 use zinnia_sched::Policy;
@@ -25,8 +26,6 @@
 use zinnia_types::WorkerId;
 use zinnia_types::worker::End;
 
-use crate::clock;
-
 /// An end that the log has to record before the worker may forget it.
 #[derive(Clone, Copy, Debug)]
 pub struct FinalEnd {
--- a/crates/zinnia-daemon/src/daemon.rs
+++ b/crates/zinnia-daemon/src/daemon.rs
@@ -36,6 +36,7 @@
 use zinnia_raft::Entry;
 use zinnia_raft::Payload;
 use zinnia_raft::Recovered;
+use zinnia_replica::Hooks;
 use zinnia_store::Identity as FolderIdentity;
 use zinnia_store::Options;
 use zinnia_store::Store;
@@ -47,10 +48,9 @@
 use crate::http;
 use crate::journal::Accepted;
 use crate::journal::Journal;
-use crate::replica::Hooks;
-use crate::replica::Replica;
 use crate::routing::Routing;
 use crate::settings::Settings;
+use crate::shared::Replica;
 use crate::shared::Shared;
 use crate::telemetry;
 use crate::ticker::Ticker;
@@ -313,7 +313,7 @@
     Ok(())
 }
 
-fn hooks(shared: &Arc<Shared>) -> Hooks {
+fn hooks(shared: &Arc<Shared>) -> Hooks<zinnia_cell::Reply> {
     let weak = Arc::downgrade(shared);
     let send = {
         let weak = weak.clone();
--- a/crates/zinnia-daemon/src/http/calls.rs
+++ b/crates/zinnia-daemon/src/http/calls.rs
@@ -34,9 +34,9 @@
 use super::dispatch::headers;
 use super::dispatch::send;
 use super::documents::odd;
-use crate::clock;
 use crate::reject::Reject;
 use crate::shared::Shared;
+use zinnia_replica::clock;
 
 /// Marks a call that another daemon passed on.
 const HOP_HEADER: &str = "x-zinnia-hop";
--- a/crates/zinnia-daemon/src/http/dispatch.rs
+++ b/crates/zinnia-daemon/src/http/dispatch.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use zinnia_http::SendError;
+use zinnia_replica::clock;
 use zinnia_route::Action;
 use zinnia_route::CallId;
 use zinnia_route::Event;
@@ -23,7 +24,6 @@
 use zinnia_types::TeamId;
 use zinnia_types::WorkerId;
 
-use crate::clock;
 use crate::shared::Shared;
 
 /// Header with the request id.
--- a/crates/zinnia-daemon/src/http/documents.rs
+++ b/crates/zinnia-daemon/src/http/documents.rs
@@ -22,9 +22,9 @@
 
 use super::auth;
 use super::auth::Body;
-use crate::clock;
 use crate::reject::Reject;
 use crate::shared::Shared;
+use zinnia_replica::clock;
 
 /// Body of `PUT /v1/document`.
 #[derive(Deserialize)]
--- a/crates/zinnia-daemon/src/http/jobs.rs
+++ b/crates/zinnia-daemon/src/http/jobs.rs
@@ -40,11 +40,11 @@
 use super::rows::Row;
 use super::rows::count_running;
 use crate::authority::Right;
-use crate::clock;
 use crate::engine::Engine;
 use crate::journal;
 use crate::reject::Reject;
 use crate::shared::Shared;
+use zinnia_replica::clock;
 
 /// Rows of a list unless the caller asks for another number.
 const ROWS: usize = 100;
--- a/crates/zinnia-daemon/src/http/views.rs
+++ b/crates/zinnia-daemon/src/http/views.rs
@@ -20,11 +20,11 @@
 use zinnia_types::worker::TaskState;
 
 use super::auth;
-use crate::clock;
 use crate::engine::Engine;
 use crate::reject::Reject;
 use crate::shared::Shared;
 use crate::telemetry;
+use zinnia_replica::clock;
 
 /// `GET /healthz`: ready once the VM is listed in the cell and accepts keys, until it drains.
 pub(super) async fn healthz(State(shared): State<Arc<Shared>>) -> Response {
@@ -260,7 +260,7 @@
     let mut value = shared.with(|b, now| b.dump(now));
     value["log"] = shared
         .replica()
-        .map(crate::replica::Replica::dump)
+        .map(crate::shared::Replica::dump)
         .unwrap_or_default();
     let links = shared.links.counters();
     value["links"] = serde_json::to_value(links).unwrap_or_default();
--- a/crates/zinnia-daemon/src/lead.rs
+++ b/crates/zinnia-daemon/src/lead.rs
@@ -11,11 +11,11 @@
 use zinnia_raft::Change;
 use zinnia_raft::Node;
 use zinnia_raft::Role;
+use zinnia_replica::Verdict;
+use zinnia_replica::clock;
 use zinnia_types::VmId;
 
-use crate::clock;
-use crate::replica::Replica;
-use crate::replica::Verdict;
+use crate::shared::Replica;
 use crate::shared::Shared;
 use crate::ticker::Ticker;
 
--- a/crates/zinnia-daemon/src/lib.rs
+++ b/crates/zinnia-daemon/src/lib.rs
@@ -5,7 +5,6 @@
 
 pub mod acting;
 pub mod authority;
-pub mod clock;
 pub mod counted;
 pub mod endpoints;
 pub mod engine;
@@ -14,7 +13,6 @@
 pub mod peers;
 pub mod push;
 pub mod reject;
-pub mod replica;
 pub mod routing;
 pub mod settings;
 pub mod shared;
--- a/crates/zinnia-daemon/src/peers.rs
+++ b/crates/zinnia-daemon/src/peers.rs
@@ -196,7 +196,7 @@
 
 /// Whether the quorum was heard of late. A leader without quorum must not claim contact.
 pub fn has_contact(shared: &Shared) -> bool {
-    let now = crate::clock::now();
+    let now = zinnia_replica::clock::now();
     shared
         .replica()
         .is_some_and(|r| r.read(|n| n.contact(now)) && r.fault().is_none())
@@ -323,7 +323,7 @@
         let shared = Arc::clone(shared);
         let ping = Arc::clone(&ping);
         tokio::spawn(async move {
-            let sent = crate::clock::now();
+            let sent = zinnia_replica::clock::now();
             let limit = Duration::from_millis(shared.settings.lease.ping_ms);
             let answer = shared
                 .links
@@ -343,7 +343,7 @@
     {
         tracing::error!(step = "withdraw", %error, "withdrawn keys are not on disk");
     }
-    let applied = shared.replica().map_or(0, crate::replica::Replica::applied);
+    let applied = shared.replica().map_or(0, crate::shared::Replica::applied);
     shared.with(|engine, _| {
         let word = PeerContact {
             sent,
--- a/crates/zinnia-daemon/src/routing.rs
+++ b/crates/zinnia-daemon/src/routing.rs
@@ -7,6 +7,7 @@
 
 use serde_json::Value;
 use tokio::sync::mpsc;
+use zinnia_replica::clock;
 use zinnia_route::Action;
 use zinnia_route::CallId;
 use zinnia_route::Event;
@@ -16,8 +17,6 @@
 use zinnia_types::ServiceId;
 use zinnia_types::WorkerId;
 
-use crate::clock;
-
 /// Calls that a worker runs at the same time for one service.
 const SLOTS: u32 = 8;
 /// Connections that a worker accepts for one service.
--- a/crates/zinnia-daemon/src/shared.rs
+++ b/crates/zinnia-daemon/src/shared.rs
@@ -20,6 +20,8 @@
 use zinnia_peer::Links;
 use zinnia_raft::Node;
 use zinnia_raft::Refusal;
+use zinnia_replica::Verdict;
+use zinnia_replica::clock;
 use zinnia_store::RecordFile;
 use zinnia_types::Code;
 use zinnia_types::ErrorBody;
@@ -27,12 +29,9 @@
 use zinnia_types::Time;
 use zinnia_types::VmId;
 
-use crate::clock;
 use crate::counted::Traffic;
 use crate::engine::Engine;
 use crate::journal::Journal;
-use crate::replica::Replica;
-use crate::replica::Verdict;
 use crate::routing::Routing;
 use crate::settings::Settings;
 
@@ -41,6 +40,9 @@
 /// Pause before a proposal is tried again while no leader is known.
 const RETRY: Duration = Duration::from_millis(100);
 
+/// The replicated log, whose commands the cell answers.
+pub type Replica = zinnia_replica::Replica<Reply>;
+
 /// Shared by all tasks of a daemon.
 pub struct Shared {
     /// Settings as read.
--- /dev/null
+++ b/crates/zinnia-plan/src/advice.rs
@@ -0,0 +1,88 @@
+//! Answers of the outside policy: which workers may run a step.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use zinnia_types::Time;
+
+use crate::StepId;
+
+/// Least time that a ticket has left when a start is planned with it.
+const TICKET_SLACK_MS: u64 = 250;
+/// Pause after a question that was not answered.
+const RETRY_MS: u64 = 150;
+
+/// A question to the policy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Question {
+    /// Step that is to run.
+    pub step: StepId,
+    /// Workers that could run it.
+    pub workers: Vec<String>,
+    /// Time that the policy takes for it.
+    pub cost_ms: u64,
+    /// How long tickets hold.
+    pub valid_ms: u64,
+}
+
+#[derive(Debug)]
+struct Ticket {
+    text: String,
+    until: Time,
+}
+
+/// What is known of one step.
+#[derive(Debug, Default)]
+pub(crate) struct Advice {
+    tickets: BTreeMap<String, Ticket>,
+    /// Workers that may run the step; their tickets may have run out.
+    pub(crate) granted: BTreeSet<String>,
+    pub(crate) denied: BTreeSet<String>,
+    pub(crate) asking: bool,
+    pub(crate) retry: Time,
+}
+
+impl Advice {
+    /// The ticket for a worker, when it holds long enough for a start.
+    pub(crate) fn ticket(&self, worker: &str, now: Time) -> Option<&str> {
+        let ticket = self.tickets.get(worker)?;
+        (now.after(TICKET_SLACK_MS) < ticket.until).then_some(ticket.text.as_str())
+    }
+
+    /// Whether a question about this worker could bring a ticket.
+    pub(crate) fn is_open(&self, worker: &str, now: Time) -> bool {
+        !self.denied.contains(worker) && self.ticket(worker, now).is_none()
+    }
+
+    /// Forgets the ticket of a worker that refused it.
+    pub(crate) fn drop_ticket(&mut self, worker: &str) {
+        self.tickets.remove(worker);
+    }
+
+    /// Notes the answer to a question that was sent at `sent`; `None` when none came.
+    pub(crate) fn answer(
+        &mut self,
+        question: &Question,
+        granted: Option<Vec<(String, String)>>,
+        sent: Time,
+        now: Time,
+    ) {
+        self.asking = false;
+        let Some(granted) = granted else {
+            self.retry = now.after(RETRY_MS);
+            return;
+        };
+        let held = question.cost_ms.min(now.since(sent));
+        let until = sent.after(held + question.valid_ms);
+        for worker in &question.workers {
+            if !granted.iter().any(|(w, _)| w == worker) {
+                self.denied.insert(worker.clone());
+                self.granted.remove(worker);
+            }
+        }
+        for (worker, text) in granted {
+            self.granted.insert(worker.clone());
+            self.tickets.insert(worker, Ticket { text, until });
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinnia-plan/src/lead.rs
@@ -0,0 +1,581 @@
+//! What a leader knows and does beyond the replicated state.
+
+use std::collections::BTreeMap;
+
+use zinnia_types::Time;
+
+use crate::Beat;
+use crate::Question;
+use crate::Record;
+use crate::Report;
+use crate::Start;
+use crate::State;
+use crate::Status;
+use crate::StepId;
+use crate::TaskId;
+use crate::advice::Advice;
+use crate::contact::Contact;
+use crate::contact::Order;
+use crate::contact::Progress;
+use crate::contact::Sent;
+
+/// Times of the decisions, in milliseconds.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Longest lease that workers accept.
+    pub hold_max_ms: u64,
+    /// Lease that orders ask for.
+    pub lease_ms: u64,
+    /// Longest wait of a worker's answer for an end.
+    pub wait_ms: u64,
+    /// Silence after which a worker gets no new tasks.
+    pub silence_ms: u64,
+    /// Pause between two stop orders for one run.
+    pub stop_ms: u64,
+    /// Time without progress after which a run counts as stuck.
+    pub stuck_ms: u64,
+    /// How long a worker that fails gets no new tasks.
+    pub suspect_ms: u64,
+    /// Distinct jobs that have to fail on a worker before it is suspected.
+    pub suspect_jobs: usize,
+    /// How much longer work takes away from its data or across racks.
+    pub remote_factor: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            hold_max_ms: 10_000,
+            lease_ms: 9_000,
+            wait_ms: 1_500,
+            silence_ms: 2_600,
+            stop_ms: 400,
+            stuck_ms: 4_000,
+            suspect_ms: 5_000,
+            suspect_jobs: 3,
+            remote_factor: 3,
+        }
+    }
+}
+
+/// How a start order ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The run is there.
+    Accepted {
+        /// The worker's clock.
+        clock_ms: u64,
+    },
+    /// It certainly does not run because of this order.
+    Refused {
+        /// Whether the worker is to be left alone for a while.
+        busy: bool,
+        /// Whether the worker refused the policy's ticket.
+        ticket: bool,
+    },
+    /// It may run now or later.
+    Unknown,
+}
+
+/// A question to a worker for its runs, which also renews its lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Hold {
+    /// Worker.
+    pub worker: String,
+    /// Begin of its life.
+    pub born: i64,
+    /// `ip:port`.
+    pub addr: String,
+    /// Token.
+    pub fence: u64,
+    /// Number of the last end that is noted.
+    pub noted: u64,
+    /// Deadline of the lease on the worker's clock.
+    pub deadline_ms: Option<u64>,
+    /// How long the answer may wait for an end.
+    pub wait_ms: u64,
+    /// When it is sent.
+    pub sent: Time,
+}
+
+/// An order about a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// Worker.
+    pub worker: String,
+    /// Begin of its life.
+    pub born: i64,
+    /// `ip:port`.
+    pub addr: String,
+    /// Token.
+    pub fence: u64,
+    /// Task.
+    pub task: TaskId,
+    /// Run.
+    pub run: u32,
+}
+
+/// A start order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StartCall {
+    /// Whom and what.
+    pub call: Call,
+    /// Text of the job.
+    pub text: String,
+    /// Deadline of the lease on the worker's clock.
+    pub deadline_ms: u64,
+    /// Saved progress to go on from; empty for none.
+    pub saved: String,
+    /// Ticket of the outside policy; empty without one.
+    pub ticket: String,
+}
+
+/// What the leader wants done.
+#[derive(Debug, Default)]
+pub struct Plan {
+    /// Records to propose.
+    pub records: Vec<Record>,
+    /// Tasks to start, proposed before they are sent.
+    pub starts: Vec<Start>,
+    /// Questions to the outside policy.
+    pub questions: Vec<Question>,
+    /// Questions to workers.
+    pub holds: Vec<Hold>,
+    /// Runs to stop.
+    pub stops: Vec<Call>,
+}
+
+/// The volatile part of a leader; made anew with each leadership.
+#[derive(Debug)]
+pub struct Lead {
+    pub(crate) settings: Settings,
+    /// First token of this leadership; those of earlier ones are lower.
+    base: u64,
+    began: Time,
+    pub(crate) contacts: BTreeMap<String, Contact>,
+    pub(crate) advice: BTreeMap<StepId, Advice>,
+}
+
+/// Tokens that one leadership may use for a worker.
+const FENCES: u64 = 1 << 20;
+
+impl Lead {
+    /// A leadership of `term` that begins at `now`.
+    pub fn new(settings: Settings, term: u64, now: Time) -> Self {
+        Self {
+            settings,
+            base: term * FENCES,
+            began: now,
+            contacts: BTreeMap::new(),
+            advice: BTreeMap::new(),
+        }
+    }
+
+    /// When everything that earlier leaders started has lapsed on a worker that nobody reaches.
+    fn old_until(&self) -> Time {
+        /// Time in which a leader that was replaced may still have sent orders.
+        const OVERLAP_MS: u64 = 1_000;
+        let lease = self.settings.hold_max_ms;
+        self.began.after(lease + lease / 40 + OVERLAP_MS)
+    }
+
+    fn contact(&mut self, worker: &str, born: i64, now: Time) -> &mut Contact {
+        let (base, until) = (self.base, self.old_until());
+        let found = self
+            .contacts
+            .entry(worker.to_owned())
+            .or_insert_with(|| Contact::new(born, base, now, until));
+        if found.born < born {
+            *found = Contact::new(born, base, now, until);
+        }
+        found
+    }
+
+    /// Takes an announcement in; returns what has to be recorded.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the announcement names no worker to use.
+    pub fn beat(&mut self, state: &State, beat: &Beat, now: Time) -> Option<Record> {
+        let life = &beat.life;
+        let known = state.workers.get(&life.worker);
+        if known.is_some_and(|w| w.life.born > life.born || (w.life.born == life.born && w.left)) {
+            return None;
+        }
+        let contact = self.contact(&life.worker, life.born, now);
+        if contact.born != life.born || contact.sequence > beat.sequence {
+            return None;
+        }
+        contact.sequence = beat.sequence;
+        contact.draining |= beat.draining;
+        contact.heard = now;
+        contact.read_clock(beat.clock_ms, now);
+        let same = known.is_some_and(|w| w.life == *life);
+        (!same && known.is_none_or(|w| w.life.born < life.born)).then(|| Record::Join(life.clone()))
+    }
+
+    /// Prepares the order for a start that was committed; `None` when it must not be sent.
+    pub fn send(&mut self, state: &State, start: &Start, now: Time) -> Option<StartCall> {
+        let job = state.jobs.get(&start.task.job)?;
+        let task = state.task(start.task)?;
+        let worker = state.workers.get(&start.worker)?;
+        let lease = self.settings.lease_ms;
+        let ticket = self
+            .advice
+            .get(&StepId::from(start.task))
+            .and_then(|a| a.ticket(&start.worker, now))
+            .unwrap_or_default()
+            .to_owned();
+        let contact = self.contacts.get_mut(&start.worker)?;
+        if contact.born != start.born {
+            return None;
+        }
+        let deadline_ms = contact.deadline(lease, now)?;
+        let order = Order {
+            fence: contact.fence,
+            sent: Sent::Open,
+        };
+        contact.orders.insert((start.task, start.run), order);
+        contact.due = contact.due.min(now.after(self.settings.wait_ms));
+        Some(StartCall {
+            call: Call {
+                worker: start.worker.clone(),
+                born: start.born,
+                addr: worker.life.addr.clone(),
+                fence: order.fence,
+                task: start.task,
+                run: start.run,
+            },
+            text: job.spec.text.clone(),
+            deadline_ms,
+            saved: task.saved.clone(),
+            ticket,
+        })
+    }
+
+    /// Takes the outcome of a start order in; returns what has to be recorded.
+    pub fn started(&mut self, call: &Call, outcome: &Outcome, now: Time) -> Option<Record> {
+        let suspect = now.after(self.settings.suspect_ms);
+        if let Outcome::Refused { ticket: true, .. } = outcome
+            && let Some(advice) = self.advice.get_mut(&StepId::from(call.task))
+        {
+            advice.drop_ticket(&call.worker);
+        }
+        let contact = self.contacts.get_mut(&call.worker)?;
+        if contact.born != call.born {
+            return None;
+        }
+        let order = contact.orders.get_mut(&(call.task, call.run))?;
+        match outcome {
+            Outcome::Accepted { clock_ms } => {
+                order.sent = Sent::Accepted(now);
+                contact.heard = now;
+                contact.misses = 0;
+                contact.read_clock(*clock_ms, now);
+                None
+            }
+            Outcome::Refused { busy, .. } => {
+                contact.orders.remove(&(call.task, call.run));
+                if *busy {
+                    contact.suspect = suspect;
+                }
+                Some(Record::Void(vec![(call.task, call.run, String::new())]))
+            }
+            Outcome::Unknown => {
+                order.sent = Sent::Unknown;
+                // A higher token keeps the order from being carried out after the next answer.
+                if order.fence == contact.fence {
+                    contact.fence += 1;
+                }
+                contact.misses += 1;
+                contact.due = now;
+                None
+            }
+        }
+    }
+
+    /// Takes the answer to a question for runs in; returns what has to be recorded.
+    pub fn reported(
+        &mut self,
+        state: &State,
+        hold: &Hold,
+        report: Option<&Report>,
+        now: Time,
+    ) -> Vec<Record> {
+        let pause = self.settings.stop_ms;
+        let Some(contact) = self.contacts.get_mut(&hold.worker) else {
+            return Vec::new();
+        };
+        if contact.born != hold.born || contact.holding != Some(hold.sent) {
+            return Vec::new();
+        }
+        contact.holding = None;
+        let Some(report) = report else {
+            contact.misses += 1;
+            contact.due = now.after(pause);
+            return Vec::new();
+        };
+        contact.misses = 0;
+        contact.heard = now;
+        contact.read_clock(report.clock_ms, now);
+        contact.confirmed = contact.confirmed.max(hold.fence);
+        contact.lapsed = false;
+        contact.due = now;
+        let Some(worker) = state.workers.get(&hold.worker) else {
+            return Vec::new();
+        };
+        let mut records = Vec::new();
+        let fresh: Vec<_> = report
+            .ended
+            .iter()
+            .filter(|e| e.number > worker.noted)
+            .collect();
+        if let Some(upto) = fresh.iter().map(|e| e.number).max() {
+            records.push(Record::Ends {
+                worker: hold.worker.clone(),
+                born: hold.born,
+                upto,
+                list: fresh.iter().map(|e| (*e).clone()).collect(),
+            });
+            // Asked again before the ends are noted, the worker would list them once more.
+            contact.due = now.after(pause);
+        }
+        contact.see(report, now);
+        let mut absent = Vec::new();
+        let mut open = false;
+        for &(task, run) in &worker.runs {
+            let running = report
+                .running
+                .iter()
+                .any(|r| r.task == task && r.run == run);
+            let ended = report.ended.iter().any(|e| e.task == task && e.run == run);
+            if running || ended || report.partial {
+                continue;
+            }
+            let order = contact.orders.get(&(task, run));
+            let certain = order.is_none_or(|o| {
+                o.fence < hold.fence || matches!(o.sent, Sent::Accepted(at) if at < hold.sent)
+            });
+            if certain && order.is_none_or(|o| o.sent != Sent::Open) {
+                absent.push((task, run, String::new()));
+            } else if order.is_some_and(|o| o.sent == Sent::Unknown) {
+                open = true;
+            }
+        }
+        if open && contact.fence == hold.fence {
+            contact.fence += 1;
+        }
+        if !absent.is_empty() {
+            records.push(Record::Void(absent));
+        }
+        records
+    }
+
+    /// Ends the wait for the next question, after ends of this worker were noted.
+    pub fn noted(&mut self, worker: &str, now: Time) {
+        if let Some(contact) = self.contacts.get_mut(worker) {
+            contact.due = contact.due.min(now);
+        }
+    }
+
+    /// Notes for the choice of workers how a run ended.
+    pub fn judge(&mut self, worker: &str, task: TaskId, failed: bool, now: Time) {
+        let (jobs, ms) = (self.settings.suspect_jobs, self.settings.suspect_ms);
+        let Some(contact) = self.contacts.get_mut(worker) else {
+            return;
+        };
+        if !failed {
+            contact.failed.clear();
+            return;
+        }
+        contact.failed.insert(task.job);
+        if contact.failed.len() >= jobs {
+            contact.suspect = now.after(ms);
+            contact.failed.clear();
+        }
+    }
+
+    /// Takes the answer of the outside policy in; `None` when none came.
+    pub fn advised(
+        &mut self,
+        question: &Question,
+        granted: Option<Vec<(String, String)>>,
+        sent: Time,
+        now: Time,
+    ) {
+        if let Some(advice) = self.advice.get_mut(&question.step) {
+            advice.answer(question, granted, sent, now);
+        }
+    }
+
+    /// Decides what to do now. `starts` tells whether tasks may be started in this pass.
+    pub fn plan(&mut self, state: &State, starts: bool, now: Time, wall_ms: i64) -> Plan {
+        let mut plan = Plan::default();
+        self.meet(state, now);
+        self.lapse(state, now, &mut plan);
+        self.stop(state, now, &mut plan);
+        self.hold(state, now, &mut plan);
+        if starts {
+            self.place(state, now, wall_ms, &mut plan);
+        }
+        let live = |step: &StepId| state.live.contains(&step.job);
+        self.advice.retain(|step, _| live(step));
+        plan
+    }
+
+    /// Makes a contact for each life that the state knows.
+    fn meet(&mut self, state: &State, now: Time) {
+        for (name, worker) in &state.workers {
+            if worker.left {
+                self.contacts.remove(name);
+            } else {
+                self.contact(name, worker.life.born, now);
+            }
+        }
+    }
+
+    /// Gives up the runs of workers whose leases have certainly run out.
+    fn lapse(&mut self, state: &State, now: Time, plan: &mut Plan) {
+        for (name, contact) in &mut self.contacts {
+            let Some(worker) = state.workers.get(name) else {
+                continue;
+            };
+            if worker.runs.is_empty() || contact.lapsed || !contact.is_over(now) {
+                continue;
+            }
+            contact.lapsed = true;
+            // What was sent before must not begin now, and the next answer must say what runs.
+            contact.fence += 1;
+            contact.confirmed = 0;
+            let saved = |key| contact.progress.get(&key).map_or("", |p| p.saved.as_str());
+            let list = worker
+                .runs
+                .iter()
+                .map(|&(t, r)| (t, r, saved((t, r)).to_owned()));
+            plan.records.push(Record::Void(list.collect()));
+        }
+    }
+
+    /// Stops what must not go on.
+    fn stop(&mut self, state: &State, now: Time, plan: &mut Plan) {
+        let pause = self.settings.stop_ms;
+        for (name, contact) in &mut self.contacts {
+            let Some(worker) = state.workers.get(name) else {
+                continue;
+            };
+            contact.stops.retain(|_, at| now.since(*at) < pause * 4);
+            for &(task, run) in &worker.runs {
+                let due = |at: &Time| now.since(*at) >= pause;
+                if !is_wanted(state, task, run) && contact.stops.get(&(task, run)).is_none_or(due) {
+                    contact.stops.insert((task, run), now);
+                    plan.stops.push(Call {
+                        worker: name.clone(),
+                        born: contact.born,
+                        addr: worker.life.addr.clone(),
+                        fence: contact.fence,
+                        task,
+                        run,
+                    });
+                }
+            }
+        }
+    }
+
+    fn hold(&mut self, state: &State, now: Time, plan: &mut Plan) {
+        let lease = self.settings.lease_ms;
+        let wait = self.settings.wait_ms;
+        for (name, contact) in &mut self.contacts {
+            let Some(worker) = state.workers.get(name) else {
+                continue;
+            };
+            let unsure = contact.confirmed < contact.fence;
+            if contact.holding.is_some() || now < contact.due {
+                continue;
+            }
+            if worker.runs.is_empty() && !unsure {
+                continue;
+            }
+            contact.holding = Some(now);
+            let deadline_ms = contact.deadline(lease, now);
+            plan.holds.push(Hold {
+                worker: name.clone(),
+                born: contact.born,
+                addr: worker.life.addr.clone(),
+                fence: contact.fence,
+                noted: worker.noted,
+                deadline_ms,
+                wait_ms: if unsure || contact.misses > 0 {
+                    0
+                } else {
+                    wait
+                },
+                sent: now,
+            });
+        }
+    }
+
+    /// State for a dump: worker, token, whether it is confirmed, open orders.
+    pub fn dump(&self) -> Vec<(String, u64, bool, usize)> {
+        let row = |(name, c): (&String, &Contact)| {
+            (
+                name.clone(),
+                c.fence,
+                c.confirmed == c.fence,
+                c.orders.len(),
+            )
+        };
+        self.contacts.iter().map(row).collect()
+    }
+}
+
+/// Whether a run should go on: its job is open, and no member of its gang is missing.
+fn is_wanted(state: &State, task: TaskId, run: u32) -> bool {
+    let Some(job) = state.jobs.get(&task.job) else {
+        return false;
+    };
+    if job.status != Status::Open {
+        return false;
+    }
+    let step = job
+        .rounds
+        .get(task.round as usize)
+        .and_then(|r| r.get(task.step as usize));
+    let (Some(states), Some(step)) = (step, job.spec.steps.get(task.step as usize)) else {
+        return false;
+    };
+    let whole = states
+        .tasks
+        .iter()
+        .all(|t| t.run == run && t.worker.is_some());
+    !step.gang || states.is_done() || whole
+}
+
+impl Contact {
+    /// Notes progress of the runs in a report and forgets orders that it settles.
+    fn see(&mut self, report: &Report, now: Time) {
+        let mut seen = BTreeMap::new();
+        for run in &report.running {
+            let key = (run.task, run.run);
+            let since = match self.progress.get(&key) {
+                Some(p) if p.percent == run.percent => p.since,
+                _ => now,
+            };
+            let progress = Progress {
+                percent: run.percent,
+                since,
+                saved: run.saved.clone(),
+                load: run.load,
+            };
+            seen.insert(key, progress);
+            if let Some(order) = self.orders.get_mut(&key)
+                && order.sent == Sent::Unknown
+            {
+                order.sent = Sent::Accepted(now);
+            }
+        }
+        for end in &report.ended {
+            self.orders.remove(&(end.task, end.run));
+        }
+        self.progress = seen;
+    }
+}
--- /dev/null
+++ b/crates/zinnia-plan/src/lib.rs
@@ -0,0 +1,53 @@
+//! Jobs in steps: the replicated state of a cell and the decisions of its leader.
+//!
+//! [`State`] is what the log means: [`State::apply`] takes committed records. [`Lead`] is what a
+//! leader knows beyond that, such as which workers answer; it proposes records and asks for calls.
+//! Neither reads a clock, a file or a socket.
+
+mod advice;
+mod contact;
+mod document;
+mod job;
+mod lead;
+mod place;
+mod record;
+mod spec;
+mod state;
+
+pub use advice::Question;
+pub use contact::Beat;
+pub use contact::Report;
+pub use contact::Running;
+pub use document::Document;
+pub use document::Fault;
+pub use document::Policy;
+pub use document::Pool;
+pub use document::Queue;
+pub use document::Team;
+pub use job::Job;
+pub use job::Status;
+pub use job::StepState;
+pub use job::Task;
+pub use lead::Call;
+pub use lead::Hold;
+pub use lead::Lead;
+pub use lead::Outcome;
+pub use lead::Plan;
+pub use lead::Settings;
+pub use lead::StartCall;
+pub use record::Batch;
+pub use record::End;
+pub use record::How;
+pub use record::Life;
+pub use record::Record;
+pub use record::Reply;
+pub use record::Start;
+pub use spec::BadTaskId;
+pub use spec::JobSpec;
+pub use spec::Repeat;
+pub use spec::Room;
+pub use spec::Step;
+pub use spec::StepId;
+pub use spec::TaskId;
+pub use state::State;
+pub use state::Worker;
--- /dev/null
+++ b/crates/zinnia-plan/src/place.rs
@@ -0,0 +1,401 @@
+//! Choice of workers for tasks that wait.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use zinnia_types::Time;
+
+use crate::Job;
+use crate::Lead;
+use crate::Plan;
+use crate::Policy;
+use crate::Question;
+use crate::Queue;
+use crate::Room;
+use crate::Start;
+use crate::State;
+use crate::Status;
+use crate::Step;
+use crate::StepId;
+use crate::StepState;
+use crate::TaskId;
+use crate::state::Worker;
+
+/// Most workers that one question to the policy names.
+const MOST_NAMED: usize = 24;
+/// Fewest workers that a question names when that many could run the step.
+const LEAST_NAMED: usize = 8;
+/// How long a gang waits for room in one rack before it is spread over several.
+const RACK_WAIT_MS: i64 = 2_000;
+
+/// A step with tasks that wait.
+struct Due<'a> {
+    id: StepId,
+    job: &'a Job,
+    step: &'a Step,
+    tasks: &'a StepState,
+    queue: &'a Queue,
+}
+
+/// Free room as the pass goes on.
+struct Free<'a> {
+    worker: &'a Worker,
+    room: Room,
+    /// Whether tasks that fill, and tasks that serve, run here.
+    fills: bool,
+    serves: bool,
+}
+
+impl Free<'_> {
+    fn rack(&self) -> &str {
+        self.worker.life.labels.last().map_or("", String::as_str)
+    }
+}
+
+/// What a pass works on.
+struct Pass<'a> {
+    state: &'a State,
+    free: BTreeMap<&'a str, Free<'a>>,
+    usage: BTreeMap<&'a str, Room>,
+    now: Time,
+    wall_ms: i64,
+}
+
+impl Lead {
+    /// Plans starts for tasks that wait, in the order of priority and age.
+    pub(crate) fn place(&mut self, state: &State, now: Time, wall_ms: i64, plan: &mut Plan) {
+        let mut due = waiting(state, wall_ms);
+        if due.is_empty() {
+            return;
+        }
+        due.sort_by_key(|d| (d.queue.priority, d.job.accepted_ms, d.id));
+        let mut pass = Pass {
+            state,
+            free: self.free(state, now),
+            usage: BTreeMap::new(),
+            now,
+            wall_ms,
+        };
+        for step in &due {
+            self.place_step(&mut pass, step, plan);
+        }
+    }
+
+    /// Free room of the workers that may get tasks.
+    fn free<'a>(&self, state: &'a State, now: Time) -> BTreeMap<&'a str, Free<'a>> {
+        let mut free = BTreeMap::new();
+        for (name, worker) in &state.workers {
+            let Some(contact) = self.contacts.get(name) else {
+                continue;
+            };
+            let usable = !worker.left
+                && contact.born == worker.life.born
+                && contact.confirmed == contact.fence
+                && !contact.draining
+                && contact.misses == 0
+                && now >= contact.suspect
+                && now.since(contact.heard) < self.settings.silence_ms;
+            if !usable {
+                continue;
+            }
+            let kinds = worker.runs.iter().filter_map(|(task, _)| state.step(*task));
+            let (mut fills, mut serves) = (false, false);
+            for step in kinds {
+                fills |= step.fills;
+                serves |= step.target_ms > 0;
+            }
+            let room = worker.life.room.minus(&worker.used);
+            let entry = Free {
+                worker,
+                room,
+                fills,
+                serves,
+            };
+            free.insert(name.as_str(), entry);
+        }
+        free
+    }
+
+    fn place_step<'a>(&mut self, pass: &mut Pass<'a>, due: &Due<'a>, plan: &mut Plan) {
+        let mut able = pass.able(due);
+        if able.is_empty() {
+            return;
+        }
+        if let Some(policy) = due.queue.policy {
+            let now = pass.now;
+            let advice = self.advice.entry(due.id).or_default();
+            let all = able.clone();
+            able.retain(|w| advice.ticket(w, now).is_some());
+            let left = if due.step.gang {
+                pass.gang(due, &able, plan)
+            } else {
+                pass.tasks(due, &able, plan)
+            };
+            if left > 0 && !advice.asking && now >= advice.retry {
+                let open = all.into_iter().filter(|w| advice.is_open(w, now));
+                let mut names: Vec<&str> = open.collect();
+                names.sort_by_key(|w| !advice.granted.contains(*w));
+                names.truncate(pass.wanted(due, left));
+                if !names.is_empty() {
+                    advice.asking = true;
+                    plan.questions.push(question(due.id, &names, &policy));
+                }
+            }
+        } else if due.step.gang {
+            pass.gang(due, &able, plan);
+        } else {
+            pass.tasks(due, &able, plan);
+        }
+    }
+}
+
+fn question(step: StepId, names: &[&str], policy: &Policy) -> Question {
+    let count = u32::try_from(names.len()).unwrap_or(u32::MAX);
+    let cost = policy.base_ms + policy.each_ms * f64::from(count);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a few seconds"
+    )]
+    let cost_ms = cost.max(0.0) as u64;
+    Question {
+        step,
+        workers: names.iter().map(|w| (*w).to_owned()).collect(),
+        cost_ms,
+        valid_ms: policy.valid_ms,
+    }
+}
+
+/// Steps whose turn has come and that have tasks without a worker.
+fn waiting(state: &State, wall_ms: i64) -> Vec<Due<'_>> {
+    let mut list = Vec::new();
+    for id in &state.live {
+        let Some(job) = state.jobs.get(id).filter(|j| j.status == Status::Open) else {
+            continue;
+        };
+        let Some(queue) = state.document.queue(&job.queue) else {
+            continue;
+        };
+        for (r, steps) in (0..).zip(&job.rounds) {
+            if job.due_ms(r) > wall_ms {
+                break;
+            }
+            for (s, tasks) in (0..).zip(steps) {
+                let Some(step) = job.spec.steps.get(s as usize) else {
+                    continue;
+                };
+                let idle = tasks.tasks.len() as u32 - tasks.done.min(tasks.tasks.len() as u32);
+                if idle == tasks.placed || tasks.is_done() || !job.is_ready(r, s) {
+                    continue;
+                }
+                if step.gang && tasks.placed > 0 {
+                    continue;
+                }
+                list.push(Due {
+                    id: StepId {
+                        job: *id,
+                        round: r,
+                        step: s,
+                    },
+                    job,
+                    step,
+                    tasks,
+                    queue,
+                });
+            }
+        }
+    }
+    list
+}
+
+impl<'a> Pass<'a> {
+    /// Workers with room for a task of the step, the best first.
+    fn able(&self, due: &Due<'_>) -> Vec<&'a str> {
+        let step = due.step;
+        let need = step.charge();
+        let fit = |f: &&(&&'a str, &Free<'a>)| {
+            let life = &f.1.worker.life;
+            life.pool == due.queue.pool
+                && f.1.room.fits(&need)
+                && life.room.fits(&step.room)
+                && (step.label.is_empty() || life.labels.contains(&step.label))
+                && !(step.fills && f.1.serves)
+        };
+        let rows: Vec<(&&'a str, &Free<'a>)> = self.free.iter().collect();
+        let mut able: Vec<&(&&'a str, &Free<'a>)> = rows.iter().filter(fit).collect();
+        able.sort_by_key(|(_, f)| {
+            let far = !step.data_rack.is_empty() && f.rack() != step.data_rack;
+            let beside = step.target_ms > 0 && f.fills;
+            (far, beside, f.room.gpu, f.room.cpu)
+        });
+        able.into_iter().map(|(name, _)| **name).collect()
+    }
+
+    /// How many workers a question for `left` tasks should name.
+    fn wanted(&self, due: &Due<'_>, left: usize) -> usize {
+        let need = due.step.charge();
+        let fits = self
+            .free
+            .values()
+            .filter(|f| f.worker.life.pool == due.queue.pool);
+        let each = |f: &Free<'_>| {
+            let by = |room: u64, need: u64| room.checked_div(need).unwrap_or(u64::MAX);
+            let n = by(f.room.cpu, need.cpu).min(by(f.room.mem, need.mem));
+            n.min(by(f.room.gpu, need.gpu)).min(left as u64)
+        };
+        let (count, sum) = fits.fold((0, 0), |(c, s), f| (c + 1, s + each(f)));
+        let mean = (sum / std::cmp::max(count, 1)).max(1);
+        let workers = (left as u64).div_ceil(mean);
+        usize::try_from(workers * 3)
+            .unwrap_or(MOST_NAMED)
+            .clamp(LEAST_NAMED, MOST_NAMED)
+    }
+
+    /// Whether the team may have one more task of this size running.
+    fn within_cap(&mut self, due: &Due<'a>, count: u64) -> bool {
+        let Some(team) = self.state.document.team(&due.job.team) else {
+            return true;
+        };
+        let used = self.used(&due.job.team);
+        let room = due.step.room;
+        let ok = |cap: u64, used: u64, need: u64| cap == 0 || used + need * count <= cap;
+        ok(team.cap.cpu, used.cpu, room.cpu)
+            && ok(team.cap.mem, used.mem, room.mem)
+            && ok(team.cap.gpu, used.gpu, room.gpu)
+    }
+
+    fn used(&mut self, team: &'a str) -> &mut Room {
+        let state = self.state;
+        let known = || state.usage.get(team).copied().unwrap_or_default();
+        self.usage.entry(team).or_insert_with(known)
+    }
+
+    /// Tasks of the step that may run on each worker already.
+    fn beside(&self, due: &Due<'_>) -> BTreeMap<&'a str, u32> {
+        let mut count = BTreeMap::new();
+        if due.step.per_worker > 0 {
+            for (name, free) in &self.free {
+                let same = |(t, _): &&(TaskId, u32)| StepId::from(*t) == due.id;
+                let n = free.worker.runs.iter().filter(same).count();
+                count.insert(*name, u32::try_from(n).unwrap_or(u32::MAX));
+            }
+        }
+        count
+    }
+
+    fn put(&mut self, due: &Due<'a>, name: &'a str) {
+        let room = due.step.room;
+        if let Some(free) = self.free.get_mut(name) {
+            free.room = free.room.minus(&due.step.charge());
+            free.fills |= due.step.fills;
+            free.serves |= due.step.target_ms > 0;
+        }
+        let used = self.used(&due.job.team);
+        *used = used.plus(&room);
+    }
+
+    fn start(&self, due: &Due<'_>, index: u32, run: u32, name: &str) -> Option<Start> {
+        let born = self.free.get(name)?.worker.life.born;
+        Some(Start {
+            task: TaskId {
+                job: due.id.job,
+                round: due.id.round,
+                step: due.id.step,
+                index,
+            },
+            run,
+            worker: name.to_owned(),
+            born,
+        })
+    }
+
+    /// Places tasks one by one; returns how many are left.
+    fn tasks(&mut self, due: &Due<'a>, able: &[&'a str], plan: &mut Plan) -> usize {
+        let need = due.step.charge();
+        let mut beside = self.beside(due);
+        let mut left = 0;
+        for (index, task) in (0..).zip(&due.tasks.tasks) {
+            if task.done || task.worker.is_some() {
+                continue;
+            }
+            if !self.within_cap(due, 1) {
+                return 0;
+            }
+            let fits = |name: &&&'a str| {
+                let room = self.free.get(**name).is_some_and(|f| f.room.fits(&need));
+                let most = due.step.per_worker;
+                let few = most == 0 || beside.get(**name).is_none_or(|n| *n < most);
+                room && few
+            };
+            // A task that failed here before goes elsewhere if it can.
+            let again = |name: &&&'a str| task.failed_on == ***name;
+            let chosen = able.iter().filter(fits).min_by_key(|n| again(n)).copied();
+            let Some(name) = chosen else {
+                left += 1;
+                continue;
+            };
+            if let Some(start) = self.start(due, index, task.run + 1, name) {
+                plan.starts.push(start);
+                *beside.entry(name).or_default() += 1;
+                self.put(due, name);
+            }
+        }
+        left
+    }
+
+    /// Places a gang as a whole; returns its size when there is no room for it.
+    fn gang(&mut self, due: &Due<'a>, able: &[&'a str], plan: &mut Plan) -> usize {
+        let count = due.tasks.tasks.len();
+        if !self.within_cap(due, count as u64) {
+            return 0;
+        }
+        let mut choice = None;
+        if due.step.same_rack && count > 1 {
+            let racks: BTreeSet<&str> = able.iter().filter_map(|w| self.rack(w)).collect();
+            choice = racks.into_iter().find_map(|rack| {
+                let inside = able.iter().copied().filter(|w| self.rack(w) == Some(rack));
+                self.spread(due, inside.collect(), count)
+            });
+            let waited = self.wall_ms - due.job.accepted_ms;
+            if choice.is_none() && waited < RACK_WAIT_MS {
+                return count;
+            }
+        }
+        let choice = choice.or_else(|| self.spread(due, able.to_vec(), count));
+        let Some(names) = choice else {
+            return count;
+        };
+        let run = due.tasks.tasks.iter().map(|t| t.run).max().unwrap_or(0) + 1;
+        for (index, name) in (0..).zip(names) {
+            if let Some(start) = self.start(due, index, run, name) {
+                plan.starts.push(start);
+                self.put(due, name);
+            }
+        }
+        0
+    }
+
+    fn rack(&self, name: &str) -> Option<&'a str> {
+        let worker: &'a Worker = self.free.get(name)?.worker;
+        worker.life.labels.last().map(String::as_str)
+    }
+
+    /// A worker for each of `count` tasks, if there is room for all.
+    fn spread(&self, due: &Due<'_>, able: Vec<&'a str>, count: usize) -> Option<Vec<&'a str>> {
+        let need = due.step.charge();
+        let mut names = Vec::new();
+        for name in able {
+            let mut room = self.free.get(name)?.room;
+            let mut here = 0;
+            while names.len() < count
+                && room.fits(&need)
+                && (due.step.per_worker == 0 || here < due.step.per_worker)
+            {
+                room = room.minus(&need);
+                here += 1;
+                names.push(name);
+            }
+        }
+        (names.len() == count).then_some(names)
+    }
+}
--- /dev/null
+++ b/crates/zinnia-plan/src/state.rs
@@ -0,0 +1,434 @@
+//! The replicated state: document, jobs and lives of workers.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use serde::Deserialize;
+use serde::Serialize;
+use zinnia_types::JobId;
+
+use crate::Batch;
+use crate::Document;
+use crate::End;
+use crate::How;
+use crate::Job;
+use crate::JobSpec;
+use crate::Life;
+use crate::Record;
+use crate::Reply;
+use crate::Room;
+use crate::Start;
+use crate::Status;
+use crate::Step;
+use crate::TaskId;
+use crate::job::StepState;
+use crate::job::Task;
+
+/// How long the state of a job that has ended can be read.
+const RETENTION_MS: i64 = 180_000;
+
+/// A worker's current life and what may run there.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Worker {
+    /// The life.
+    pub life: Life,
+    /// Number of the last end that is noted.
+    pub noted: u64,
+    /// Whether the life is over.
+    pub left: bool,
+    /// What may run, with the number of the run.
+    pub runs: BTreeSet<(TaskId, u32)>,
+    /// What that takes from the capacity.
+    pub used: Room,
+}
+
+/// The state that all members of the log share.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    /// Latest clock of a proposer.
+    pub at_ms: i64,
+    /// Document in force, as sent.
+    pub raw: String,
+    /// Document in force.
+    pub document: Document,
+    /// Jobs.
+    pub jobs: BTreeMap<JobId, Job>,
+    /// Workers.
+    pub workers: BTreeMap<String, Worker>,
+    /// What each team may have running.
+    pub usage: BTreeMap<String, Room>,
+    /// Jobs that are not at their end, or have runs that may still go on.
+    pub live: BTreeSet<JobId>,
+    /// Ended jobs in the order of their end.
+    ended: BTreeSet<(i64, JobId)>,
+}
+
+impl State {
+    /// Applies a batch and answers each record.
+    pub fn apply(&mut self, batch: &Batch) -> Vec<Reply> {
+        self.at_ms = self.at_ms.max(batch.at_ms);
+        let replies = batch.list.iter().map(|r| self.record(r)).collect();
+        self.prune();
+        replies
+    }
+
+    fn record(&mut self, record: &Record) -> Reply {
+        match record {
+            Record::Document { raw, document } => {
+                if document.version > self.document.version {
+                    self.raw.clone_from(raw);
+                    self.document.clone_from(document);
+                }
+                Reply::Done
+            }
+            Record::Submit {
+                id,
+                queue,
+                team,
+                spec,
+            } => self.submit(*id, queue, team, spec),
+            Record::Cancel(id) => self.cancel(*id),
+            Record::Join(life) => {
+                self.join(life);
+                Reply::Done
+            }
+            Record::Left { worker, born } => {
+                self.leave(worker, *born);
+                Reply::Done
+            }
+            Record::Start(starts) => Reply::Started(self.start(starts)),
+            Record::Ends {
+                worker,
+                born,
+                upto,
+                list,
+            } => {
+                self.note(worker, *born, *upto, list);
+                Reply::Done
+            }
+            Record::Void(list) => {
+                for (task, run, saved) in list {
+                    self.void(*task, *run, saved);
+                }
+                Reply::Done
+            }
+        }
+    }
+
+    fn submit(&mut self, id: JobId, queue: &str, team: &str, spec: &JobSpec) -> Reply {
+        if let Some(job) = self.jobs.get(&id) {
+            let same = job.queue == queue && job.team == team;
+            return if same { Reply::Done } else { Reply::Conflict };
+        }
+        let job = Job::new(queue.to_owned(), team.to_owned(), spec.clone(), self.at_ms);
+        self.jobs.insert(id, job);
+        self.live.insert(id);
+        Reply::Done
+    }
+
+    fn cancel(&mut self, id: JobId) -> Reply {
+        if !self.jobs.contains_key(&id) {
+            return Reply::Unknown;
+        }
+        self.end(id, Status::Cancelled);
+        Reply::Done
+    }
+
+    fn end(&mut self, id: JobId, status: Status) {
+        let at = self.at_ms;
+        if let Some(job) = self.jobs.get_mut(&id)
+            && job.status == Status::Open
+        {
+            job.status = status;
+            job.ended_ms = at;
+            self.ended.insert((at, id));
+        }
+        self.settle(id);
+    }
+
+    /// Drops what a job no longer needs once it is at its end and nothing of it may run.
+    fn settle(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id)
+            && job.status != Status::Open
+            && job.placed == 0
+        {
+            job.spec = JobSpec::default();
+            job.rounds = Vec::new();
+            self.live.remove(&id);
+        }
+    }
+
+    fn prune(&mut self) {
+        while let Some(&(at, id)) = self.ended.first() {
+            if at + RETENTION_MS > self.at_ms || self.live.contains(&id) {
+                return;
+            }
+            self.ended.pop_first();
+            self.jobs.remove(&id);
+        }
+    }
+
+    fn join(&mut self, life: &Life) {
+        let old = self.workers.get(&life.worker);
+        if old.is_some_and(|w| w.life.born >= life.born) {
+            return;
+        }
+        // One address belongs to one worker at a time, so an older worker there has ended.
+        let shared = |w: &&Worker| w.life.addr == life.addr && w.life.born < life.born && !w.left;
+        let over: Vec<(String, i64)> = self
+            .workers
+            .values()
+            .filter(shared)
+            .map(|w| (w.life.worker.clone(), w.life.born))
+            .collect();
+        for (worker, born) in over {
+            self.leave(&worker, born);
+        }
+        if let Some(born) = self.workers.get(&life.worker).map(|w| w.life.born) {
+            self.leave(&life.worker, born);
+        }
+        let worker = Worker {
+            life: life.clone(),
+            ..Worker::default()
+        };
+        self.workers.insert(life.worker.clone(), worker);
+    }
+
+    fn leave(&mut self, worker: &str, born: i64) {
+        let Some(found) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if found.life.born != born || found.left {
+            return;
+        }
+        found.left = true;
+        let runs: Vec<(TaskId, u32)> = found.runs.iter().copied().collect();
+        for (task, run) in runs {
+            self.void(task, run, "");
+        }
+    }
+
+    /// The step and task with the specification of the step.
+    fn parts(&mut self, id: TaskId) -> Option<(&Step, &mut StepState)> {
+        let job = self.jobs.get_mut(&id.job)?;
+        let spec = job.spec.steps.get(id.step as usize)?;
+        let state = job
+            .rounds
+            .get_mut(id.round as usize)?
+            .get_mut(id.step as usize)?;
+        Some((spec, state))
+    }
+
+    /// Whether a run may begin as far as the state tells.
+    fn may_start(&self, start: &Start) -> bool {
+        let id = start.task;
+        let Some(job) = self.jobs.get(&id.job) else {
+            return false;
+        };
+        let known = self.workers.get(&start.worker);
+        let alive = known.is_some_and(|w| w.life.born == start.born && !w.left);
+        let task = job
+            .rounds
+            .get(id.round as usize)
+            .and_then(|r| r.get(id.step as usize))
+            .and_then(|s| s.tasks.get(id.index as usize));
+        let due = task.is_some_and(|t| !t.done && t.worker.is_none() && start.run > t.run);
+        alive && due && job.status == Status::Open && job.is_ready(id.round, id.step)
+    }
+
+    fn start(&mut self, starts: &[Start]) -> Vec<Start> {
+        let mut valid = Vec::new();
+        for start in starts {
+            let id = start.task;
+            let step = self
+                .jobs
+                .get(&id.job)
+                .and_then(|j| j.spec.steps.get(id.step as usize));
+            let ok = match step {
+                Some(step) if step.gang => {
+                    let members = starts.iter().filter(|s| {
+                        crate::StepId::from(s.task) == crate::StepId::from(id) && s.run == start.run
+                    });
+                    let sound = members.filter(|s| {
+                        let own = self.may_start(s);
+                        own || valid.contains(*s)
+                    });
+                    sound.count() == step.count as usize
+                }
+                Some(_) => self.may_start(start),
+                None => false,
+            };
+            if ok {
+                self.place(start);
+                valid.push(start.clone());
+            }
+        }
+        valid
+    }
+
+    fn place(&mut self, start: &Start) {
+        let id = start.task;
+        let Some((step, state)) = self.parts(id) else {
+            return;
+        };
+        let (charge, room) = (step.charge(), step.room);
+        state.placed += 1;
+        if let Some(task) = state.tasks.get_mut(id.index as usize) {
+            task.run = start.run;
+            task.worker = Some(start.worker.clone());
+        }
+        if let Some(worker) = self.workers.get_mut(&start.worker) {
+            worker.runs.insert((id, start.run));
+            worker.used = worker.used.plus(&charge);
+        }
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.begun = true;
+            job.placed += 1;
+            let usage = self.usage.entry(job.team.clone()).or_default();
+            *usage = usage.plus(&room);
+        }
+    }
+
+    /// Takes a run off its worker; false when that run is not placed.
+    fn remove(&mut self, id: TaskId, run: u32) -> bool {
+        let Some((step, state)) = self.parts(id) else {
+            return false;
+        };
+        let (charge, room) = (step.charge(), step.room);
+        let Some(task) = state.tasks.get_mut(id.index as usize) else {
+            return false;
+        };
+        if task.run != run {
+            return false;
+        }
+        let Some(name) = task.worker.take() else {
+            return false;
+        };
+        state.placed -= 1;
+        if let Some(worker) = self.workers.get_mut(&name) {
+            worker.runs.remove(&(id, run));
+            worker.used = worker.used.minus(&charge);
+        }
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.placed -= 1;
+            if let Some(usage) = self.usage.get_mut(&job.team) {
+                *usage = usage.minus(&room);
+            }
+        }
+        true
+    }
+
+    fn void(&mut self, id: TaskId, run: u32, saved: &str) {
+        if self.remove(id, run) {
+            self.keep(id, saved);
+            self.settle(id.job);
+        }
+    }
+
+    /// Keeps saved progress; that of a gang's member holds for the whole gang.
+    fn keep(&mut self, id: TaskId, saved: &str) {
+        if saved.is_empty() {
+            return;
+        }
+        let Some((step, state)) = self.parts(id) else {
+            return;
+        };
+        let gang = step.gang;
+        for (i, task) in state.tasks.iter_mut().enumerate() {
+            if gang || i == id.index as usize {
+                saved.clone_into(&mut task.saved);
+            }
+        }
+    }
+
+    fn note(&mut self, worker: &str, born: i64, upto: u64, list: &[End]) {
+        let Some(found) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if found.life.born != born || found.left {
+            return;
+        }
+        let before = found.noted;
+        found.noted = found.noted.max(upto);
+        for end in list.iter().filter(|e| e.number > before) {
+            if self.remove(end.task, end.run) {
+                self.finish_run(worker, end);
+                self.settle(end.task.job);
+            }
+        }
+    }
+
+    fn finish_run(&mut self, worker: &str, end: &End) {
+        let id = end.task;
+        self.keep(id, &end.saved);
+        let Some((step, state)) = self.parts(id) else {
+            return;
+        };
+        let lasting = step.lasting;
+        let gang = step.gang;
+        let mut failures = 0;
+        match end.how {
+            How::Done if lasting => {}
+            How::Done if gang => {
+                for task in &mut state.tasks {
+                    task.done = true;
+                }
+                state.done = u32::try_from(state.tasks.len()).unwrap_or(u32::MAX);
+            }
+            How::Done => {
+                if let Some(task) = state.tasks.get_mut(id.index as usize)
+                    && !task.done
+                {
+                    task.done = true;
+                    state.done += 1;
+                }
+            }
+            How::Failed => {
+                if gang && state.failed_run < end.run {
+                    state.failed_run = end.run;
+                    state.failures += 1;
+                }
+                failures = state.failures;
+                if let Some(task) = state.tasks.get_mut(id.index as usize) {
+                    task.failures += 1;
+                    worker.clone_into(&mut task.failed_on);
+                    failures = failures.max(task.failures);
+                }
+            }
+            How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
+        }
+        let Some(job) = self.jobs.get(&id.job) else {
+            return;
+        };
+        let most = self
+            .document
+            .queue(&job.queue)
+            .map_or(1, |q| q.max_attempts);
+        if !lasting && failures > 0 && failures >= most {
+            self.end(id.job, Status::Failed);
+        } else if job.is_complete() {
+            self.end(id.job, Status::Completed);
+        }
+    }
+
+    /// The task called `id`.
+    pub fn task(&self, id: TaskId) -> Option<&Task> {
+        let round = self.jobs.get(&id.job)?.rounds.get(id.round as usize)?;
+        round.get(id.step as usize)?.tasks.get(id.index as usize)
+    }
+
+    /// The step of a task, while its job has one.
+    pub fn step(&self, id: TaskId) -> Option<&Step> {
+        self.jobs.get(&id.job)?.spec.steps.get(id.step as usize)
+    }
+
+    /// Jobs of a queue that are accepted and have not begun.
+    pub fn pending(&self, queue: &str) -> usize {
+        let waits = |id: &&JobId| {
+            self.jobs
+                .get(id)
+                .is_some_and(|j| j.queue == queue && !j.begun && j.status == Status::Open)
+        };
+        self.live.iter().filter(waits).count()
+    }
+}
--- /dev/null
+++ b/crates/zinnia-replica/src/clock.rs
@@ -0,0 +1,31 @@
+//! Clocks of the process.
+
+use std::sync::LazyLock;
+use std::time::SystemTime;
+
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+use zinnia_types::Time;
+
+static ORIGIN: LazyLock<u64> = LazyLock::new(boot_ms);
+
+/// Milliseconds since the machine started, the time in which it was suspended included.
+///
+/// A lease that is measured on a clock that stands still during a suspension would seem alive after it.
+fn boot_ms() -> u64 {
+    let at = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(at.tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(at.tv_nsec).unwrap_or(0);
+    seconds * 1_000 + nanos / 1_000_000
+}
+
+/// The monotonic clock; starts at 1 s so that no reading equals the zero of a fresh state.
+pub fn now() -> Time {
+    Time(1_000 + boot_ms().saturating_sub(*ORIGIN))
+}
+
+/// Milliseconds since the Unix epoch; only for timestamps and due times, never for leases.
+pub fn wall_ms() -> i64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |d| i64::try_from(d.as_millis()).unwrap_or(i64::MAX))
+}
--- /dev/null
+++ b/crates/zinnia-replica/src/lib.rs
@@ -0,0 +1,9 @@
+//! The I/O shell of the replicated log: one thread that owns the store and steps the node.
+
+pub mod clock;
+mod replica;
+
+pub use replica::Apply;
+pub use replica::Hooks;
+pub use replica::Replica;
+pub use replica::Verdict;
--- a/crates/zinnia-daemon/src/replica.rs
+++ b/crates/zinnia-replica/src/replica.rs
@@ -12,7 +12,6 @@
 use serde_json::json;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
-use zinnia_cell::Reply;
 use zinnia_raft::Action;
 use zinnia_raft::Change;
 use zinnia_raft::Data;
@@ -36,15 +35,15 @@
 /// Most inputs taken in before their entries are synced together.
 const BATCH: usize = 256;
 
-/// Applies a committed entry and returns the cell's answer to a command.
-pub type Apply = Box<dyn Fn(&Entry) -> Option<Reply> + Send>;
+/// Applies a committed entry and returns the answer to its command.
+pub type Apply<R> = Box<dyn Fn(&Entry) -> Option<R> + Send>;
 
 /// What the log thread asks of the rest of the daemon.
-pub struct Hooks {
+pub struct Hooks<R> {
     /// Sends a message to another node; it may be lost.
     pub send: Box<dyn Fn(VmId, Message) + Send>,
     /// Applies committed entries.
-    pub apply: Apply,
+    pub apply: Apply<R>,
     /// Replaces the cell's state by a snapshot.
     pub install: Box<dyn Fn(&Snapshot) + Send>,
     /// Serialises the cell's state as of the last applied entry.
@@ -55,13 +54,13 @@
 
 /// How a proposal ended. No verdict at all means that the outcome is not known.
 #[derive(Debug)]
-pub enum Verdict {
+pub enum Verdict<R> {
     /// Committed and applied.
     Applied {
         /// Index of the entry.
         index: u64,
-        /// The cell's answer; `None` for a change of members.
-        reply: Option<Reply>,
+        /// The answer to the command; `None` for a change of members.
+        reply: Option<R>,
     },
     /// Not in the log, and never will be.
     Rejected {
@@ -72,41 +71,41 @@
     },
 }
 
-enum Input {
+enum Input<R> {
     Event(Event),
-    Propose(Data, oneshot::Sender<Verdict>),
-    Change(Change, oneshot::Sender<Verdict>),
+    Propose(Data, oneshot::Sender<Verdict<R>>),
+    Change(Change, oneshot::Sender<Verdict<R>>),
     Form(Members, oneshot::Sender<bool>),
     Stop(oneshot::Sender<()>),
 }
 
 /// Handle to the log thread.
-pub struct Replica {
+pub struct Replica<R> {
     node: Arc<Mutex<Node>>,
-    inputs: mpsc::Sender<Input>,
+    inputs: mpsc::Sender<Input<R>>,
     applied: watch::Receiver<u64>,
     fault: Arc<Mutex<Option<String>>>,
 }
 
-struct Thread {
+struct Thread<R> {
     settings: Settings,
     node: Arc<Mutex<Node>>,
     store: Option<Store>,
-    hooks: Hooks,
+    hooks: Hooks<R>,
     compact: u64,
-    inputs: mpsc::Receiver<Input>,
+    inputs: mpsc::Receiver<Input<R>>,
     applied: watch::Sender<u64>,
     fault: Arc<Mutex<Option<String>>>,
     ctx: u64,
-    open: BTreeMap<u64, oneshot::Sender<Verdict>>,
-    placed: BTreeMap<u64, oneshot::Sender<Verdict>>,
+    open: BTreeMap<u64, oneshot::Sender<Verdict<R>>>,
+    placed: BTreeMap<u64, oneshot::Sender<Verdict<R>>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl Replica {
+impl<R: Send + 'static> Replica<R> {
     /// Starts the log thread; `recovered` is what the store found.
     ///
     /// # Errors
@@ -117,7 +116,7 @@
         store: Option<Store>,
         recovered: Recovered,
         compact: u64,
-        hooks: Hooks,
+        hooks: Hooks<R>,
     ) -> std::io::Result<Self> {
         if let Some(snapshot) = recovered.snapshot.as_ref()
             && !snapshot.data.is_empty()
@@ -166,7 +165,7 @@
     }
 
     /// Proposes a command on this node; `None` when the outcome is not known in time.
-    pub async fn propose(&self, text: String, limit: Duration) -> Option<Verdict> {
+    pub async fn propose(&self, text: String, limit: Duration) -> Option<Verdict<R>> {
         let (tx, rx) = oneshot::channel();
         self.inputs
             .send(Input::Propose(Data::from(text), tx))
@@ -175,7 +174,7 @@
     }
 
     /// Proposes a change of members on this node.
-    pub async fn change(&self, change: Change, limit: Duration) -> Option<Verdict> {
+    pub async fn change(&self, change: Change, limit: Duration) -> Option<Verdict<R>> {
         let (tx, rx) = oneshot::channel();
         self.inputs.send(Input::Change(change, tx)).ok()?;
         tokio::time::timeout(limit, rx).await.ok()?.ok()
@@ -225,7 +224,7 @@
     }
 }
 
-impl Thread {
+impl<R> Thread<R> {
     fn run(mut self) {
         let tick = Duration::from_millis((self.settings.heartbeat_ms / 4).max(1));
         loop {
@@ -254,7 +253,7 @@
     }
 
     /// Takes one input in; true when the thread must end.
-    fn take(&mut self, input: Input, actions: &mut Vec<Action>) -> bool {
+    fn take(&mut self, input: Input<R>, actions: &mut Vec<Action>) -> bool {
         match input {
             Input::Event(event) => self.step(event, actions),
             Input::Propose(data, tx) => {
@@ -277,7 +276,7 @@
         false
     }
 
-    fn register(&mut self, tx: oneshot::Sender<Verdict>) -> u64 {
+    fn register(&mut self, tx: oneshot::Sender<Verdict<R>>) -> u64 {
         self.ctx += 1;
         self.open.retain(|_, tx| !tx.is_closed());
         self.open.insert(self.ctx, tx);
