Count on the longest lease of an earlier leader when a new one reaches a worker

Cause: the first question of a new leader carries no deadline, so its record of the latest lease stayed 0 and every run of a worker counted as lapsed at once. Ruled out: the reconciliation of the worker's lists.

--- a/crates/zinnia-plan/src/contact.rs
+++ b/crates/zinnia-plan/src/contact.rs
@@ -171,6 +171,11 @@
         Some(deadline)
     }
 
+    /// Notes that a lease up to this time on the worker's clock may have reached it.
+    pub(crate) fn extend_reach(&mut self, clock_ms: u64) {
+        self.reach = self.reach.max(clock_ms);
+    }
+
     /// Whether every lease that may have reached the worker has run out.
     pub(crate) fn is_over(&self, now: Time) -> bool {
         /// Slack for the granularity of clocks.
--- a/crates/zinnia-plan/src/lead.rs
+++ b/crates/zinnia-plan/src/lead.rs
@@ -318,6 +318,10 @@
         contact.misses = 0;
         contact.heard = now;
         contact.read_clock(report.clock_ms, now);
+        if contact.confirmed == 0 {
+            // An earlier leader may have given a lease up to the longest one.
+            contact.extend_reach(report.clock_ms + self.settings.hold_max_ms);
+        }
         contact.confirmed = contact.confirmed.max(hold.fence);
         contact.lapsed = false;
         contact.due = now;
