Keep a leader ready for its whole term

Cause: readiness asked that the newest commit be applied; under load one is nearly always on its way to the disk, so the leader sent callers elsewhere at random. Ruled out: processor time (--no-cpu shows the same), slow disks (no pass of the log thread over 100 ms), lost messages of the log.

--- a/crates/zinnia-control/src/engine.rs
+++ b/crates/zinnia-control/src/engine.rs
@@ -5,6 +5,8 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
@@ -47,6 +49,8 @@
     pub(crate) replica: OnceLock<Replica<Vec<Reply>>>,
     pub(crate) links: Links,
     pub(crate) runtime: tokio::runtime::Handle,
+    /// Latest term in which this process was ready to lead.
+    pub(crate) ready_term: AtomicU64,
     /// Wakes the leader's planning.
     pub(crate) kick: Notify,
     /// Start orders that were committed.
@@ -64,15 +68,23 @@
         self.replica.get().map(|r| r.read(f))
     }
 
-    /// Whether this process leads, has applied all that was committed, and may answer reads.
+    /// Whether this process leads and may answer reads.
     pub(crate) fn leads(&self) -> bool {
-        let check = |n: &Node| n.is_ready() && n.contact(clock::now());
-        self.read(check).unwrap_or(false)
+        let contact = |n: &Node| n.contact(clock::now());
+        self.term().is_some() && self.read(contact).unwrap_or(false)
     }
 
-    /// Term of the own leadership, if this process leads and has applied what was committed.
+    /// Term of the own leadership, once all that was committed before it is applied.
+    ///
+    /// A leader is ready for the rest of its term: its later entries are acknowledged only after
+    /// they are applied, so a read never misses one, though some may be on their way to the disk.
     pub(crate) fn term(&self) -> Option<u64> {
-        self.read(|n| (n.role() == Role::Leader && n.is_ready()).then(|| n.term()))?
+        let (term, ready) =
+            self.read(|n| (n.role() == Role::Leader).then(|| (n.term(), n.is_ready())))??;
+        if ready {
+            self.ready_term.store(term, Ordering::Relaxed);
+        }
+        (self.ready_term.load(Ordering::Relaxed) == term).then_some(term)
     }
 
     pub(crate) fn address(&self, vm: VmId) -> Option<String> {
--- a/crates/zinnia-control/src/member.rs
+++ b/crates/zinnia-control/src/member.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use anyhow::Context;
@@ -83,6 +84,7 @@
             core: Mutex::new(core),
             replica: OnceLock::new(),
             links,
+            ready_term: AtomicU64::new(0),
             runtime: tokio::runtime::Handle::current(),
             kick: Notify::new(),
             orders,
--- a/crates/zinnia-replica/src/replica.rs
+++ b/crates/zinnia-replica/src/replica.rs
@@ -32,6 +32,9 @@
 
 use crate::clock;
 
+/// Time of one pass of the log thread from which it is logged.
+const SLOW_MS: u64 = 100;
+
 /// Most inputs taken in before their entries are synced together.
 const BATCH: usize = 256;
 
@@ -248,7 +251,13 @@
                 }
             }
             self.step(Event::Tick, &mut actions);
+            let began = clock::now();
             self.settle(actions);
+            let ms = clock::now().since(began);
+            metrics::histogram!("zinnia_log_pass_ms").record(ms as f64);
+            if ms >= SLOW_MS {
+                tracing::warn!(event = "disk", ms, "the log waited long for its disk");
+            }
         }
     }
 
