Let questions to the policy wait at the leader, and count tickets from the answer

Cause: the leader sent every question at once; they waited seconds at the policy, and a ticket was taken to be valid from the time of sending, so it had run out on arrival and the question was asked again. Ruled out: lost answers.

--- a/crates/zinnia-control/src/engine.rs
+++ b/crates/zinnia-control/src/engine.rs
@@ -39,6 +39,25 @@
     pub(crate) seen: Time,
     /// Milliseconds of open questions.
     pub(crate) load_ms: u64,
+    /// Until when it gets no questions, after one was not answered.
+    pub(crate) rest: Time,
+}
+
+/// Silence after which a process gets no more questions for the policy.
+pub(crate) const HELPER_MS: u64 = 1_500;
+
+impl Helper {
+    pub(crate) fn new(now: Time) -> Self {
+        Self {
+            seen: now,
+            load_ms: 0,
+            rest: Time(0),
+        }
+    }
+
+    pub(crate) fn is_usable(&self, now: Time) -> bool {
+        now >= self.rest && now.since(self.seen) < HELPER_MS
+    }
 }
 
 /// A member of the log.
--- a/crates/zinnia-control/src/lead.rs
+++ b/crates/zinnia-control/src/lead.rs
@@ -21,6 +21,8 @@
 
 use crate::Port;
 use crate::engine::Engine;
+use crate::engine::HELPER_MS;
+use crate::engine::Helper;
 
 /// Longest pause between two passes of the leader.
 const PASS: Duration = Duration::from_millis(50);
@@ -28,8 +30,11 @@
 const PAUSE: Duration = Duration::from_millis(5);
 /// Longest wait for an entry of the leader's own; a step down ends the wait earlier.
 const PROPOSE: Duration = Duration::from_secs(20);
-/// Silence after which a process gets no more questions for the policy.
-const HELPER_MS: u64 = 1_500;
+/// Milliseconds of open questions beyond which a process gets no further one. Questions wait at the
+/// leader instead, which asks the most urgent ones first.
+const MOST_LOAD_MS: u64 = 300;
+/// Pause for a process through which a question was not answered.
+const REST_MS: u64 = 500;
 /// Longest time that a question to the policy may take beyond its cost.
 const ADVICE_SLACK_MS: u64 = 700;
 
@@ -89,6 +94,8 @@
     let now = clock::now();
     let mut core = engine.core();
     let core = &mut *core;
+    let own = core.helpers.entry(engine.settings.peer.to_string());
+    own.or_insert_with(|| Helper::new(now)).seen = now;
     if core.lead.is_none() {
         tracing::info!(
             event = "lead",
@@ -102,7 +109,9 @@
     }
     let lead = core.lead.as_mut()?;
     let may_start = !starting.load(Ordering::Relaxed);
-    Some(lead.plan(&core.state, may_start, now, clock::wall_ms()))
+    let usable = core.helpers.values().filter(|h| h.is_usable(now));
+    let ask_ms = usable.map(|h| MOST_LOAD_MS.saturating_sub(h.load_ms)).sum();
+    Some(lead.plan(&core.state, may_start, ask_ms, now, clock::wall_ms()))
 }
 
 fn carry_out(engine: &Arc<Engine>, port: &Port, plan: Plan, starting: &Arc<AtomicBool>) {
@@ -198,8 +207,9 @@
     let chosen = {
         let mut core = engine.core();
         core.helpers
-            .retain(|addr, h| *addr == own || now.since(h.seen) < HELPER_MS);
-        let least = core.helpers.iter_mut().min_by_key(|(_, h)| h.load_ms);
+            .retain(|_, h| now.since(h.seen) < HELPER_MS || h.load_ms > 0);
+        let usable = core.helpers.iter_mut().filter(|(_, h)| h.is_usable(now));
+        let least = usable.min_by_key(|(_, h)| h.load_ms);
         least.map(|(addr, helper)| {
             helper.load_ms += question.cost_ms;
             (addr.clone(), helper.load_ms)
@@ -219,9 +229,12 @@
         let mut core = engine.core();
         if let Some(helper) = core.helpers.get_mut(&addr) {
             helper.load_ms = helper.load_ms.saturating_sub(question.cost_ms);
+            if granted.is_none() {
+                helper.rest = now_done.after(REST_MS);
+            }
         }
         if let Some(lead) = core.lead.as_mut() {
-            lead.advised(&question, granted, now, now_done);
+            lead.advised(&question, granted, now_done);
         }
         drop(core);
         engine.kick.notify_one();
--- a/crates/zinnia-control/src/member.rs
+++ b/crates/zinnia-control/src/member.rs
@@ -19,7 +19,6 @@
 use zinnia_raft::Recovered;
 use zinnia_raft::Snapshot;
 use zinnia_replica::Replica;
-use zinnia_replica::clock;
 use zinnia_store::Identity;
 use zinnia_store::Store;
 use zinnia_types::VmId;
@@ -29,7 +28,6 @@
 use crate::apply::hooks;
 use crate::engine::Core;
 use crate::engine::Engine;
-use crate::engine::Helper;
 use crate::message::Hello;
 
 /// Name of the cell in the store.
@@ -72,16 +70,10 @@
         );
         let (orders, queue) = mpsc::unbounded_channel();
         let links = Links::new(settings.links()?, id);
-        let mut core = Core::default();
-        let helper = Helper {
-            seen: clock::now(),
-            load_ms: 0,
-        };
-        core.helpers.insert(own, helper);
         let engine = Arc::new(Engine {
             settings: settings.clone(),
             id,
-            core: Mutex::new(core),
+            core: Mutex::new(Core::default()),
             replica: OnceLock::new(),
             links,
             ready_term: AtomicU64::new(0),
--- a/crates/zinnia-control/src/peers.rs
+++ b/crates/zinnia-control/src/peers.rs
@@ -142,14 +142,9 @@
     }
     if ready {
         let mut core = engine.core();
-        let helper = Helper {
-            seen: clock::now(),
-            load_ms: 0,
-        };
-        core.helpers
-            .entry(hello.peer.clone())
-            .or_insert(helper)
-            .seen = clock::now();
+        let now = clock::now();
+        let helper = core.helpers.entry(hello.peer.clone());
+        helper.or_insert_with(|| Helper::new(now)).seen = now;
         drop(core);
         if hello.member {
             crate::member::admit(engine, vm, hello);
--- a/crates/zinnia-plan/src/advice.rs
+++ b/crates/zinnia-plan/src/advice.rs
@@ -38,7 +38,8 @@
     /// Workers that may run the step; their tickets may have run out.
     pub(crate) granted: BTreeSet<String>,
     pub(crate) denied: BTreeSet<String>,
-    pub(crate) asking: bool,
+    /// Workers that the open question names; empty without one.
+    pub(crate) asked: Vec<String>,
     pub(crate) retry: Time,
 }
 
@@ -59,21 +60,21 @@
         self.tickets.remove(worker);
     }
 
-    /// Notes the answer to a question that was sent at `sent`; `None` when none came.
+    /// Notes the answer to a question; `None` when none came.
     pub(crate) fn answer(
         &mut self,
         question: &Question,
         granted: Option<Vec<(String, String)>>,
-        sent: Time,
         now: Time,
     ) {
-        self.asking = false;
+        self.asked.clear();
         let Some(granted) = granted else {
             self.retry = now.after(RETRY_MS);
             return;
         };
-        let held = question.cost_ms.min(now.since(sent));
-        let until = sent.after(held + question.valid_ms);
+        // A question may have waited for others before it was decided, so the time counts from the
+        // answer.
+        let until = now.after(question.valid_ms);
         for worker in &question.workers {
             if !granted.iter().any(|(w, _)| w == worker) {
                 self.denied.insert(worker.clone());
--- a/crates/zinnia-plan/src/lead.rs
+++ b/crates/zinnia-plan/src/lead.rs
@@ -139,6 +139,8 @@
     pub starts: Vec<Start>,
     /// Questions to the outside policy.
     pub questions: Vec<Question>,
+    /// Milliseconds of questions that may still be added.
+    pub ask_ms: u64,
     /// Questions to workers.
     pub holds: Vec<Hold>,
     /// Runs to stop.
@@ -404,17 +406,29 @@
         &mut self,
         question: &Question,
         granted: Option<Vec<(String, String)>>,
-        sent: Time,
         now: Time,
     ) {
         if let Some(advice) = self.advice.get_mut(&question.step) {
-            advice.answer(question, granted, sent, now);
+            advice.answer(question, granted, now);
         }
     }
 
-    /// Decides what to do now. `starts` tells whether tasks may be started in this pass.
-    pub fn plan(&mut self, state: &State, starts: bool, now: Time, wall_ms: i64) -> Plan {
-        let mut plan = Plan::default();
+    /// Decides what to do now.
+    ///
+    /// `starts` tells whether tasks may be started in this pass, `ask_ms` how many milliseconds of
+    /// questions to the policy may be added to the open ones.
+    pub fn plan(
+        &mut self,
+        state: &State,
+        starts: bool,
+        ask_ms: u64,
+        now: Time,
+        wall_ms: i64,
+    ) -> Plan {
+        let mut plan = Plan {
+            ask_ms,
+            ..Plan::default()
+        };
         self.meet(state, now);
         self.lapse(state, now, &mut plan);
         self.stop(state, now, &mut plan);
--- a/crates/zinnia-plan/src/place.rs
+++ b/crates/zinnia-plan/src/place.rs
@@ -41,6 +41,8 @@
 struct Free<'a> {
     worker: &'a Worker,
     room: Room,
+    /// What of it no open question to the policy is about.
+    unasked: Room,
     /// Whether tasks that fill, and tasks that serve, run here.
     fills: bool,
     serves: bool,
@@ -108,6 +110,7 @@
             let entry = Free {
                 worker,
                 room,
+                unasked: room,
                 fills,
                 serves,
             };
@@ -131,15 +134,30 @@
             } else {
                 pass.tasks(due, &able, plan)
             };
-            if left > 0 && !advice.asking && now >= advice.retry {
-                let open = all.into_iter().filter(|w| advice.is_open(w, now));
-                let mut names: Vec<&str> = open.collect();
-                names.sort_by_key(|w| !advice.granted.contains(*w));
-                names.truncate(pass.wanted(due, left));
-                if !names.is_empty() {
-                    advice.asking = true;
-                    plan.questions.push(question(due.id, &names, &policy));
-                }
+            if left == 0 {
+                return;
+            }
+            if !advice.asked.is_empty() {
+                pass.reserve(due, &advice.asked, left);
+                return;
+            }
+            if now < advice.retry || plan.ask_ms == 0 {
+                return;
+            }
+            let need = due.step.charge();
+            let fits = |w: &&str| pass.free.get(*w).is_some_and(|f| f.unasked.fits(&need));
+            let open = all
+                .into_iter()
+                .filter(|w| advice.is_open(w, now) && fits(w));
+            let mut names: Vec<&str> = open.collect();
+            names.sort_by_key(|w| !advice.granted.contains(*w));
+            names.truncate(pass.wanted(due, left));
+            if !names.is_empty() {
+                let question = question(due.id, &names, &policy);
+                plan.ask_ms = plan.ask_ms.saturating_sub(question.cost_ms);
+                advice.asked.clone_from(&question.workers);
+                pass.reserve(due, &question.workers, left);
+                plan.questions.push(question);
             }
         } else if due.step.gang {
             pass.gang(due, &able, plan);
@@ -231,6 +249,16 @@
         able.into_iter().map(|(name, _)| **name).collect()
     }
 
+    /// Keeps later steps from asking about the room that this step asks about.
+    fn reserve(&mut self, due: &Due<'_>, names: &[String], left: usize) {
+        let need = due.step.charge();
+        for name in names.iter().take(left) {
+            if let Some(free) = self.free.get_mut(name.as_str()) {
+                free.unasked = free.unasked.minus(&need);
+            }
+        }
+    }
+
     /// How many workers a question for `left` tasks should name.
     fn wanted(&self, due: &Due<'_>, left: usize) -> usize {
         let need = due.step.charge();
@@ -287,6 +315,7 @@
         let room = due.step.room;
         if let Some(free) = self.free.get_mut(name) {
             free.room = free.room.minus(&due.step.charge());
+            free.unasked = free.unasked.minus(&due.step.charge());
             free.fills |= due.step.fills;
             free.serves |= due.step.target_ms > 0;
         }
