--- a/crates/zinnia-control/src/serve.rs
+++ b/crates/zinnia-control/src/serve.rs
@@ -35,7 +35,7 @@
         match request {
             Request::Ask(ask) => match self.meaning(ask) {
                 Meaning::Answer(answer) => self.if_leading(answer),
-                Meaning::Record(record) => self.commit(record).await,
+                Meaning::Record(record) => self.commit(vec![record]).await,
             },
             Request::Publish { raw, document } => {
                 if let Some(fault) = document.fault() {
@@ -47,7 +47,7 @@
                     held = self.core().state.document.version,
                     "document received"
                 );
-                self.commit(Record::Document { raw, document }).await
+                self.commit(vec![Record::Document { raw, document }]).await
             }
             Request::Read => {
                 let raw = self.core().state.raw.clone();
@@ -59,7 +59,7 @@
                 self.if_leading(answer)
             }
             Request::Beat(beat) => {
-                let record = {
+                let records = {
                     let mut core = self.core();
                     let core = &mut *core;
                     let Some(lead) = core.lead.as_mut() else {
@@ -68,19 +68,18 @@
                     lead.beat(&core.state, &beat, clock::now())
                 };
                 self.kick.notify_one();
-                match record {
-                    Some(record) => {
-                        tracing::info!(
-                            event = "worker",
-                            worker = beat.life.worker,
-                            born = beat.life.born,
-                            pool = beat.life.pool,
-                            "worker announced itself"
-                        );
-                        self.commit(record).await
-                    }
-                    None => Answer::Done,
+                if records.is_empty() {
+                    return Answer::Done;
                 }
+                tracing::info!(
+                    event = "worker",
+                    worker = beat.life.worker,
+                    born = beat.life.born,
+                    pool = beat.life.pool,
+                    draining = beat.draining,
+                    "worker announced a change"
+                );
+                self.commit(records).await
             }
             Request::Leave { worker, born } => {
                 let known = self.core().state.workers.get(&worker).map(|w| w.life.born);
@@ -88,11 +87,11 @@
                     return Answer::Done;
                 };
                 tracing::info!(event = "worker", worker, born = known, "worker left");
-                self.commit(Record::Left {
+                let left = Record::Left {
                     worker,
                     born: known,
-                })
-                .await
+                };
+                self.commit(vec![left]).await
             }
         }
     }
@@ -151,15 +150,16 @@
         }
     }
 
-    async fn commit(&self, record: Record) -> Answer {
-        let id = match &record {
-            Record::Submit {
+    /// Answers by the first record.
+    async fn commit(&self, records: Vec<Record>) -> Answer {
+        let id = match records.first() {
+            Some(Record::Submit {
                 id, queue, team, ..
-            } => Some(("submit", *id, queue.clone(), team.clone())),
-            Record::Cancel(id) => Some(("cancel", *id, String::new(), String::new())),
+            }) => Some(("submit", *id, queue.clone(), team.clone())),
+            Some(Record::Cancel(id)) => Some(("cancel", *id, String::new(), String::new())),
             _ => None,
         };
-        let verdict = propose(self, vec![record], COMMIT).await;
+        let verdict = propose(self, records, COMMIT).await;
         let answer = match verdict {
             Some(Verdict::Applied { reply, .. }) => {
                 match reply.and_then(|r| r.into_iter().next()) {
--- a/crates/zinnia-plan/src/contact.rs
+++ b/crates/zinnia-plan/src/contact.rs
@@ -106,7 +106,6 @@
     /// Latest answer or announcement.
     pub(crate) heard: Time,
     pub(crate) sequence: u64,
-    pub(crate) draining: bool,
     /// When a question for its runs was sent, while it is open.
     pub(crate) holding: Option<Time>,
     /// When the next question is due.
@@ -136,7 +135,6 @@
             lapsed: false,
             heard: Time(0),
             sequence: 0,
-            draining: false,
             holding: None,
             due: now,
             orders: BTreeMap::new(),
--- a/crates/zinnia-plan/src/lead.rs
+++ b/crates/zinnia-plan/src/lead.rs
@@ -194,26 +194,32 @@
     }
 
     /// Takes an announcement in; returns what has to be recorded.
-    ///
-    /// # Errors
-    ///
-    /// Returns the reason why the announcement names no worker to use.
-    pub fn beat(&mut self, state: &State, beat: &Beat, now: Time) -> Option<Record> {
+    pub fn beat(&mut self, state: &State, beat: &Beat, now: Time) -> Vec<Record> {
         let life = &beat.life;
         let known = state.workers.get(&life.worker);
         if known.is_some_and(|w| w.life.born > life.born || (w.life.born == life.born && w.left)) {
-            return None;
+            return Vec::new();
         }
         let contact = self.contact(&life.worker, life.born, now);
         if contact.born != life.born || contact.sequence > beat.sequence {
-            return None;
+            return Vec::new();
         }
         contact.sequence = beat.sequence;
-        contact.draining |= beat.draining;
         contact.heard = now;
         contact.read_clock(beat.clock_ms, now);
-        let same = known.is_some_and(|w| w.life == *life);
-        (!same && known.is_none_or(|w| w.life.born < life.born)).then(|| Record::Join(life.clone()))
+        let mut records = Vec::new();
+        let known = known.filter(|w| w.life.born == life.born);
+        if known.is_none() {
+            records.push(Record::Join(life.clone()));
+        }
+        // Recorded before it is acknowledged, so that a later leader starts nothing there either.
+        if beat.draining && known.is_none_or(|w| !w.draining) {
+            records.push(Record::Drain {
+                worker: life.worker.clone(),
+                born: life.born,
+            });
+        }
+        records
     }
 
     /// Prepares the order for a start that was committed; `None` when it must not be sent.
@@ -514,7 +520,12 @@
                 continue;
             }
             contact.holding = Some(now);
-            let deadline_ms = contact.deadline(lease, now);
+            // A question that gets no answer may still renew the lease, so a worker that does not
+            // answer is asked without a renewal: its lease would never be known to run out.
+            let deadline_ms = match contact.misses {
+                0 => contact.deadline(lease, now),
+                _ => None,
+            };
             plan.holds.push(Hold {
                 worker: name.clone(),
                 born: contact.born,
--- a/crates/zinnia-plan/src/place.rs
+++ b/crates/zinnia-plan/src/place.rs
@@ -93,7 +93,7 @@
             let usable = !worker.left
                 && contact.born == worker.life.born
                 && contact.confirmed == contact.fence
-                && !contact.draining
+                && !worker.draining
                 && contact.misses == 0
                 && now >= contact.suspect
                 && now.since(contact.heard) < self.settings.silence_ms;
--- a/crates/zinnia-plan/src/record.rs
+++ b/crates/zinnia-plan/src/record.rs
@@ -44,6 +44,13 @@
     Cancel(JobId),
     /// A life of a worker is known.
     Join(Life),
+    /// A life of a worker gets no new tasks, since it is about to leave.
+    Drain {
+        /// Worker.
+        worker: String,
+        /// Begin of the life.
+        born: i64,
+    },
     /// A life of a worker is over; nothing of it runs any more.
     Left {
         /// Worker.
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -34,6 +34,8 @@
     pub life: Life,
     /// Number of the last end that is noted.
     pub noted: u64,
+    /// Whether the worker is about to leave.
+    pub draining: bool,
     /// Whether the life is over.
     pub left: bool,
     /// What may run, with the number of the run.
@@ -92,6 +94,14 @@
                 self.join(life);
                 Reply::Done
             }
+            Record::Drain { worker, born } => {
+                if let Some(found) = self.workers.get_mut(worker)
+                    && found.life.born == *born
+                {
+                    found.draining = true;
+                }
+                Reply::Done
+            }
             Record::Left { worker, born } => {
                 self.leave(worker, *born);
                 Reply::Done
@@ -226,7 +236,7 @@
             return false;
         };
         let known = self.workers.get(&start.worker);
-        let alive = known.is_some_and(|w| w.life.born == start.born && !w.left);
+        let alive = known.is_some_and(|w| w.life.born == start.born && !w.left && !w.draining);
         let task = job
             .rounds
             .get(id.round as usize)
