--- a/crates/zinnia-plan/src/advice.rs
+++ b/crates/zinnia-plan/src/advice.rs
@@ -50,11 +50,6 @@
         (now.after(TICKET_SLACK_MS) < ticket.until).then_some(ticket.text.as_str())
     }
 
-    /// Whether a question about this worker could bring a ticket.
-    pub(crate) fn is_open(&self, worker: &str, now: Time) -> bool {
-        !self.denied.contains(worker) && self.ticket(worker, now).is_none()
-    }
-
     /// Forgets the ticket of a worker that refused it.
     pub(crate) fn drop_ticket(&mut self, worker: &str) {
         self.tickets.remove(worker);
--- a/crates/zinnia-plan/src/place.rs
+++ b/crates/zinnia-plan/src/place.rs
@@ -19,12 +19,13 @@
 use crate::StepId;
 use crate::StepState;
 use crate::TaskId;
+use crate::advice::Advice;
 use crate::state::Worker;
 
 /// Most workers that one question to the policy names.
-const MOST_NAMED: usize = 24;
-/// Fewest workers that a question names when that many could run the step.
-const LEAST_NAMED: usize = 8;
+const MOST_NAMED: usize = 30;
+/// How long a gang waits before room is kept free for it.
+const KEEP_ROOM_MS: i64 = 500;
 /// How long a gang waits for room in one rack before it is spread over several.
 const RACK_WAIT_MS: i64 = 2_000;
 
@@ -120,49 +121,44 @@
     }
 
     fn place_step<'a>(&mut self, pass: &mut Pass<'a>, due: &Due<'a>, plan: &mut Plan) {
-        let mut able = pass.able(due);
-        if able.is_empty() {
+        let able = pass.able(due);
+        let Some(policy) = due.queue.policy else {
+            let left = pass.put_all(due, &able, plan);
+            if left > 0 {
+                let capable = pass.capable(due);
+                pass.keep_room(due, &capable);
+            }
+            return;
+        };
+        let now = pass.now;
+        let advice = self.advice.entry(due.id).or_default();
+        let held = able
+            .iter()
+            .copied()
+            .filter(|w| advice.ticket(w, now).is_some());
+        let left = pass.put_all(due, &held.collect::<Vec<_>>(), plan);
+        if left == 0 {
             return;
         }
-        if let Some(policy) = due.queue.policy {
-            let now = pass.now;
-            let advice = self.advice.entry(due.id).or_default();
-            let all = able.clone();
-            able.retain(|w| advice.ticket(w, now).is_some());
-            let left = if due.step.gang {
-                pass.gang(due, &able, plan)
-            } else {
-                pass.tasks(due, &able, plan)
-            };
-            if left == 0 {
-                return;
-            }
-            if !advice.asked.is_empty() {
-                pass.reserve(due, &advice.asked, left);
-                return;
-            }
-            if now < advice.retry || plan.ask_ms == 0 {
-                return;
-            }
-            let need = due.step.charge();
-            let fits = |w: &&str| pass.free.get(*w).is_some_and(|f| f.unasked.fits(&need));
-            let open = all
-                .into_iter()
-                .filter(|w| advice.is_open(w, now) && fits(w));
-            let mut names: Vec<&str> = open.collect();
-            names.sort_by_key(|w| !advice.granted.contains(*w));
-            names.truncate(pass.wanted(due, left));
-            if !names.is_empty() {
-                let question = question(due.id, &names, &policy);
-                plan.ask_ms = plan.ask_ms.saturating_sub(question.cost_ms);
-                advice.asked.clone_from(&question.workers);
-                pass.reserve(due, &question.workers, left);
-                plan.questions.push(question);
-            }
-        } else if due.step.gang {
-            pass.gang(due, &able, plan);
-        } else {
-            pass.tasks(due, &able, plan);
+        let granted = pass
+            .capable(due)
+            .into_iter()
+            .filter(|w| advice.granted.contains(*w));
+        pass.keep_room(due, &granted.collect::<Vec<_>>());
+        if !advice.asked.is_empty() {
+            pass.reserve(due, &advice.asked, left);
+            return;
+        }
+        if now < advice.retry || plan.ask_ms == 0 {
+            return;
+        }
+        let names = pass.names(due, advice);
+        if !names.is_empty() {
+            let question = question(due.id, &names, &policy);
+            plan.ask_ms = plan.ask_ms.saturating_sub(question.cost_ms);
+            advice.asked.clone_from(&question.workers);
+            pass.reserve(due, &question.workers, left);
+            plan.questions.push(question);
         }
     }
 }
@@ -227,26 +223,68 @@
 }
 
 impl<'a> Pass<'a> {
-    /// Workers with room for a task of the step, the best first.
-    fn able(&self, due: &Due<'_>) -> Vec<&'a str> {
+    /// Workers that could run a task of the step if they had room, the best first.
+    fn capable(&self, due: &Due<'_>) -> Vec<&'a str> {
         let step = due.step;
-        let need = step.charge();
-        let fit = |f: &&(&&'a str, &Free<'a>)| {
-            let life = &f.1.worker.life;
+        let fit = |f: &Free<'a>| {
+            let life = &f.worker.life;
             life.pool == due.queue.pool
-                && f.1.room.fits(&need)
                 && life.room.fits(&step.room)
                 && (step.label.is_empty() || life.labels.contains(&step.label))
-                && !(step.fills && f.1.serves)
+                && !(step.fills && f.serves)
         };
-        let rows: Vec<(&&'a str, &Free<'a>)> = self.free.iter().collect();
-        let mut able: Vec<&(&&'a str, &Free<'a>)> = rows.iter().filter(fit).collect();
-        able.sort_by_key(|(_, f)| {
+        let mut rows: Vec<(&'a str, &Free<'a>)> =
+            self.free.iter().map(|(name, f)| (*name, f)).collect();
+        rows.retain(|(_, f)| fit(f));
+        rows.sort_by_key(|(_, f)| {
             let far = !step.data_rack.is_empty() && f.rack() != step.data_rack;
             let beside = step.target_ms > 0 && f.fills;
             (far, beside, f.room.gpu, f.room.cpu)
         });
-        able.into_iter().map(|(name, _)| **name).collect()
+        rows.into_iter().map(|(name, _)| name).collect()
+    }
+
+    fn has_room(&self, due: &Due<'_>, name: &str) -> bool {
+        let need = due.step.charge();
+        self.free.get(name).is_some_and(|f| f.room.fits(&need))
+    }
+
+    /// Workers with room for a task of the step, the best first.
+    fn able(&self, due: &Due<'_>) -> Vec<&'a str> {
+        let mut names = self.capable(due);
+        names.retain(|name| self.has_room(due, name));
+        names
+    }
+
+    /// Places what fits; returns how many tasks are left.
+    fn put_all(&mut self, due: &Due<'a>, able: &[&'a str], plan: &mut Plan) -> usize {
+        if due.step.gang {
+            self.gang(due, able, plan)
+        } else {
+            self.tasks(due, able, plan)
+        }
+    }
+
+    /// Workers that a question to the policy should name.
+    ///
+    /// Which workers may run a step does not change, and a question about many workers takes hardly
+    /// longer than one about a single one. So the first question names all that could run it, and
+    /// later ones renew the tickets of those with room.
+    fn names(&self, due: &Due<'_>, advice: &Advice) -> Vec<&'a str> {
+        let need = due.step.charge();
+        let idle = |w: &&str| self.free.get(*w).is_some_and(|f| f.unasked.fits(&need));
+        let capable = self.capable(due);
+        let renew = |w: &&&str| {
+            advice.granted.contains(**w) && advice.ticket(w, self.now).is_none() && idle(w)
+        };
+        let mut names: Vec<&str> = capable.iter().filter(renew).copied().collect();
+        if names.is_empty() {
+            let unknown = |w: &&str| !advice.granted.contains(*w) && !advice.denied.contains(*w);
+            names = capable.into_iter().filter(unknown).collect();
+            names.sort_by_key(|w| !idle(w));
+        }
+        names.truncate(MOST_NAMED);
+        names
     }
 
     /// Keeps later steps from asking about the room that this step asks about.
@@ -259,24 +297,29 @@
         }
     }
 
-    /// How many workers a question for `left` tasks should name.
-    fn wanted(&self, due: &Due<'_>, left: usize) -> usize {
+    /// Keeps room that becomes free for a gang that waits: smaller tasks would take it bit by bit.
+    fn keep_room(&mut self, due: &Due<'_>, names: &[&'a str]) {
+        if !due.step.gang || self.wall_ms - due.job.accepted_ms < KEEP_ROOM_MS {
+            return;
+        }
         let need = due.step.charge();
-        let fits = self
-            .free
-            .values()
-            .filter(|f| f.worker.life.pool == due.queue.pool);
-        let each = |f: &Free<'_>| {
-            let by = |room: u64, need: u64| room.checked_div(need).unwrap_or(u64::MAX);
-            let n = by(f.room.cpu, need.cpu).min(by(f.room.mem, need.mem));
-            n.min(by(f.room.gpu, need.gpu)).min(left as u64)
-        };
-        let (count, sum) = fits.fold((0, 0), |(c, s), f| (c + 1, s + each(f)));
-        let mean = (sum / std::cmp::max(count, 1)).max(1);
-        let workers = (left as u64).div_ceil(mean);
-        usize::try_from(workers * 3)
-            .unwrap_or(MOST_NAMED)
-            .clamp(LEAST_NAMED, MOST_NAMED)
+        let mut left = due.tasks.tasks.len();
+        // Workers sort by their room, those with the most last.
+        for name in names.iter().rev() {
+            let Some(free) = self.free.get_mut(name) else {
+                continue;
+            };
+            let mut whole = free.worker.life.room;
+            while left > 0 && whole.fits(&need) {
+                whole = whole.minus(&need);
+                left -= 1;
+            }
+            free.room = Room::default();
+            free.unasked = Room::default();
+            if left == 0 {
+                return;
+            }
+        }
     }
 
     /// Whether the team may have one more task of this size running.
--- a/crates/zinnia-plan/tests/lead.rs
+++ b/crates/zinnia-plan/tests/lead.rs
@@ -252,3 +252,55 @@
     world.meet(&life("v", 4_000));
     assert_eq!(world.place().len(), 5);
 }
+
+/// Guards against a step that learns of its workers one by one, and against tickets that are asked
+/// for where there is no room.
+#[test]
+fn a_question_names_all_workers() {
+    let policy = Policy {
+        base_ms: 100.0,
+        each_ms: 1.0,
+        valid_ms: 1_500,
+    };
+    let mut world = World::new(document(Some(policy)));
+    for name in ["a", "b", "c"] {
+        world.meet(&life(name, 1_000));
+    }
+    world.submit(job(vec![step(2, 1_000)]));
+    let question = world.plan().questions.pop().expect("the policy is asked");
+    assert_eq!(question.workers.len(), 3);
+    let granted = vec![("b".to_owned(), "ticket".to_owned())];
+    world
+        .lead
+        .advised(&question, Some(granted), Time(world.now));
+    assert_eq!(world.place().len(), 1);
+    let plan = world.plan();
+    assert!(plan.questions.is_empty(), "the only worker has no room");
+}
+
+/// Guards against a gang that never starts, because smaller tasks take each bit of room first.
+#[test]
+fn room_is_kept_for_a_gang() {
+    let mut world = World::new(document(None));
+    world.meet(&life("w", 4_000));
+    world.apply(zinnia_plan::Record::Submit {
+        id: zinnia_types::JobId(2),
+        queue: "quick".to_owned(),
+        team: "kibo".to_owned(),
+        spec: job(vec![step(1, 1_000)]),
+    });
+    assert_eq!(world.place().len(), 1);
+    world.submit(job(vec![zinnia_plan::Step {
+        gang: true,
+        ..step(4, 1_000)
+    }]));
+    world.now += 600;
+    world.beat(&life("w", 4_000), 2, false);
+    world.apply(zinnia_plan::Record::Submit {
+        id: zinnia_types::JobId(3),
+        queue: "quick".to_owned(),
+        team: "kibo".to_owned(),
+        spec: job(vec![step(1, 1_000)]),
+    });
+    assert!(world.place().is_empty(), "the room is kept for the gang");
+}
