--- a/crates/zinnia-plan/src/place.rs
+++ b/crates/zinnia-plan/src/place.rs
@@ -24,6 +24,10 @@
 
 /// Most workers that one question to the policy names.
 const MOST_NAMED: usize = 30;
+/// Priority from which queues leave room for more urgent ones in the same pool.
+const PATIENT: u32 = 2;
+/// Share of a pool's room, in percent, that patient queues leave free.
+const SPARE_PERCENT: u64 = 20;
 /// How long a gang waits before room is kept free for it.
 const KEEP_ROOM_MS: i64 = 500;
 /// How long a gang waits for room in one rack before it is spread over several.
@@ -121,6 +125,9 @@
     }
 
     fn place_step<'a>(&mut self, pass: &mut Pass<'a>, due: &Due<'a>, plan: &mut Plan) {
+        if pass.must_spare(due) {
+            return;
+        }
         let able = pass.able(due);
         let Some(policy) = due.queue.policy else {
             let left = pass.put_all(due, &able, plan);
@@ -244,6 +251,23 @@
         rows.into_iter().map(|(name, _)| name).collect()
     }
 
+    /// Whether the step has to leave the room that is left to more urgent queues: a burst of them
+    /// then finds room at once, while patient jobs may take several times their work.
+    fn must_spare(&self, due: &Due<'_>) -> bool {
+        let queue = due.queue;
+        let urgent = |q: &Queue| q.pool == queue.pool && q.priority < queue.priority;
+        if queue.priority < PATIENT || !self.state.document.queues.iter().any(urgent) {
+            return false;
+        }
+        let pool = self.free.values().filter(|f| f.worker.life.pool == queue.pool);
+        let zero = (Room::default(), Room::default());
+        let (free, all) = pool.fold(zero, |(free, all), f| {
+            (free.plus(&f.room), all.plus(&f.worker.life.room))
+        });
+        let short = |free: u64, all: u64| free * 100 < all * SPARE_PERCENT;
+        (due.step.room.gpu > 0 && short(free.gpu, all.gpu)) || short(free.cpu, all.cpu)
+    }
+
     fn has_room(&self, due: &Due<'_>, name: &str) -> bool {
         let need = due.step.charge();
         self.free.get(name).is_some_and(|f| f.room.fits(&need))
