--- a/crates/zinnia-plan/src/contact.rs
+++ b/crates/zinnia-plan/src/contact.rs
@@ -8,6 +8,7 @@
 
 use crate::End;
 use crate::Life;
+use crate::Step;
 use crate::TaskId;
 
 /// Share by which a worker's clock may be slow, in percent.
@@ -83,8 +84,20 @@
     pub(crate) percent: u64,
     /// When the percentage last changed.
     pub(crate) since: Time,
+    /// When it was last reported.
+    pub(crate) seen: Time,
     pub(crate) saved: String,
-    pub(crate) load: u64,
+}
+
+impl Progress {
+    /// Whether the run makes no progress although its worker answers.
+    ///
+    /// Tasks that fill wait for room, and members of a gang for each other; a task that lasts is at
+    /// work at 100 percent.
+    pub(crate) fn is_stuck(&self, step: &Step, stuck_ms: u64) -> bool {
+        let waits = step.fills || (step.gang && self.percent == 0);
+        !waits && self.percent < 100 && self.seen.since(self.since) >= stuck_ms
+    }
 }
 
 /// What a leader knows of one life of a worker.
--- a/crates/zinnia-plan/src/lead.rs
+++ b/crates/zinnia-plan/src/lead.rs
@@ -50,7 +50,7 @@
             wait_ms: 1_500,
             silence_ms: 2_600,
             stop_ms: 400,
-            stuck_ms: 4_000,
+            stuck_ms: 2_500,
             suspect_ms: 5_000,
             suspect_jobs: 3,
             remote_factor: 3,
@@ -483,14 +483,25 @@
     /// Stops what must not go on.
     fn stop(&mut self, state: &State, now: Time, plan: &mut Plan) {
         let pause = self.settings.stop_ms;
+        let (stuck_ms, suspect_ms) = (self.settings.stuck_ms, self.settings.suspect_ms);
         for (name, contact) in &mut self.contacts {
             let Some(worker) = state.workers.get(name) else {
                 continue;
             };
             contact.stops.retain(|_, at| now.since(*at) < pause * 4);
+            contact.orders.retain(|key, _| worker.runs.contains(key));
             for &(task, run) in &worker.runs {
                 let due = |at: &Time| now.since(*at) >= pause;
-                if !is_wanted(state, task, run) && contact.stops.get(&(task, run)).is_none_or(due) {
+                let stands = contact
+                    .progress
+                    .get(&(task, run))
+                    .zip(state.step(task))
+                    .is_some_and(|(p, step)| p.is_stuck(step, stuck_ms));
+                if stands {
+                    contact.suspect = contact.suspect.max(now.after(suspect_ms));
+                }
+                let unwanted = stands || !is_wanted(state, task, run);
+                if unwanted && contact.stops.get(&(task, run)).is_none_or(due) {
                     contact.stops.insert((task, run), now);
                     plan.stops.push(Call {
                         worker: name.clone(),
@@ -592,8 +603,8 @@
             let progress = Progress {
                 percent: run.percent,
                 since,
+                seen: now,
                 saved: run.saved.clone(),
-                load: run.load,
             };
             seen.insert(key, progress);
             if let Some(order) = self.orders.get_mut(&key)
--- a/crates/zinnia-plan/src/place.rs
+++ b/crates/zinnia-plan/src/place.rs
@@ -259,7 +259,10 @@
         if queue.priority < PATIENT || !self.state.document.queues.iter().any(urgent) {
             return false;
         }
-        let pool = self.free.values().filter(|f| f.worker.life.pool == queue.pool);
+        let pool = self
+            .free
+            .values()
+            .filter(|f| f.worker.life.pool == queue.pool);
         let zero = (Room::default(), Room::default());
         let (free, all) = pool.fold(zero, |(free, all), f| {
             (free.plus(&f.room), all.plus(&f.worker.life.room))
--- a/crates/zinnia-plan/tests/common/mod.rs
+++ b/crates/zinnia-plan/tests/common/mod.rs
@@ -173,11 +173,19 @@
 
     /// A worker answers a question for its runs; what has to be recorded is.
     pub fn report(&mut self, hold: &Hold, running: &[(TaskId, u32)], ended: Vec<End>) {
+        self.answer(hold, running, ended, 10);
+    }
+
+    pub fn report_percent(&mut self, hold: &Hold, running: &[(TaskId, u32)], percent: u64) {
+        self.answer(hold, running, Vec::new(), percent);
+    }
+
+    fn answer(&mut self, hold: &Hold, running: &[(TaskId, u32)], ended: Vec<End>, percent: u64) {
         let row = |&(task, run): &(TaskId, u32)| Running {
             task,
             run,
             saved: String::new(),
-            percent: 10,
+            percent,
             load: 0,
         };
         let report = Report {
--- a/crates/zinnia-plan/tests/lead.rs
+++ b/crates/zinnia-plan/tests/lead.rs
@@ -304,3 +304,65 @@
     });
     assert!(world.place().is_empty(), "the room is kept for the gang");
 }
+
+/// Guards against a job that hangs on a worker which answers but makes no progress, and against
+/// stopping runs that wait for a good reason.
+#[test]
+fn a_run_without_progress_is_stopped() {
+    struct Case {
+        name: &'static str,
+        step: zinnia_plan::Step,
+        percent: fn(u64) -> u64,
+        stopped: bool,
+    }
+    let cases = [
+        Case {
+            name: "stands still",
+            step: step(1, 1_000),
+            percent: |_| 10,
+            stopped: true,
+        },
+        Case {
+            name: "goes on slowly",
+            step: step(1, 1_000),
+            percent: |round| 10 + round,
+            stopped: false,
+        },
+        Case {
+            name: "at work",
+            step: zinnia_plan::Step {
+                lasting: true,
+                ..step(1, 1_000)
+            },
+            percent: |_| 100,
+            stopped: false,
+        },
+        Case {
+            name: "waits for room",
+            step: zinnia_plan::Step {
+                fills: true,
+                ..step(1, 1_000)
+            },
+            percent: |_| 10,
+            stopped: false,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(document(None));
+        world.meet(&life("w", 4_000));
+        world.submit(job(vec![case.step]));
+        let order = world.place().pop().expect("the task is placed");
+        let clock_ms = world.now + AHEAD;
+        world.outcome(&order, &Outcome::Accepted { clock_ms });
+        let mut stops = 0;
+        for round in 0..10 {
+            world.now += 500;
+            let plan = world.plan();
+            stops += plan.stops.len();
+            for hold in plan.holds {
+                world.report_percent(&hold, &[running(&order)], (case.percent)(round));
+            }
+        }
+        assert_eq!(stops > 0, case.stopped, "{}: {stops} stops", case.name);
+    }
+}
