--- a/crates/zinnia-control/tests/cell.rs
+++ b/crates/zinnia-control/tests/cell.rs
@@ -1,5 +1,7 @@
 //! A cell of three members and an entry process on loopback, with workers in memory.
 
+#![expect(clippy::expect_used, reason = "a broken test cell must stop the test")]
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::net::TcpListener;
--- a/crates/zinnia-plan/src/lead.rs
+++ b/crates/zinnia-plan/src/lead.rs
@@ -297,6 +297,8 @@
                 }
                 contact.misses += 1;
                 contact.due = now;
+                // The open question may wait long for an end; its answer is not needed any more.
+                contact.holding = None;
                 None
             }
         }
--- a/crates/zinnia-plan/tests/common/mod.rs
+++ b/crates/zinnia-plan/tests/common/mod.rs
@@ -1,6 +1,12 @@
 //! A leader with its state, driven by hand.
 
-#![allow(dead_code, reason = "each test file uses a part")]
+#![expect(
+    clippy::expect_used,
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "a broken test world must stop the test"
+)]
+#![expect(dead_code, reason = "each test file uses a part")]
 
 use zinnia_plan::Batch;
 use zinnia_plan::Beat;
@@ -32,16 +38,16 @@
 use zinnia_types::Time;
 
 /// Milliseconds by which the workers' clocks are ahead of the leader's.
-pub const AHEAD: u64 = 50_000;
+pub(crate) const AHEAD: u64 = 50_000;
 
 /// State, leader and clock.
-pub struct World {
-    pub state: State,
-    pub lead: Lead,
-    pub now: u64,
+pub(crate) struct World {
+    pub(crate) state: State,
+    pub(crate) lead: Lead,
+    pub(crate) now: u64,
 }
 
-pub fn room(cpu: u64, gpu: u64) -> Room {
+pub(crate) fn room(cpu: u64, gpu: u64) -> Room {
     Room {
         cpu,
         mem: 1_000,
@@ -49,7 +55,7 @@
     }
 }
 
-pub fn step(count: u32, cpu: u64) -> Step {
+pub(crate) fn step(count: u32, cpu: u64) -> Step {
     Step {
         count,
         room: Room {
@@ -62,7 +68,7 @@
     }
 }
 
-pub fn job(steps: Vec<Step>) -> JobSpec {
+pub(crate) fn job(steps: Vec<Step>) -> JobSpec {
     JobSpec {
         text: "work".to_owned(),
         steps,
@@ -70,7 +76,7 @@
     }
 }
 
-pub fn document(policy: Option<Policy>) -> Document {
+pub(crate) fn document(policy: Option<Policy>) -> Document {
     let queue = Queue {
         name: "quick".to_owned(),
         host: "a.example".to_owned(),
@@ -99,7 +105,7 @@
     }
 }
 
-pub fn life(worker: &str, cpu: u64) -> Life {
+pub(crate) fn life(worker: &str, cpu: u64) -> Life {
     Life {
         worker: worker.to_owned(),
         born: 1,
@@ -111,7 +117,7 @@
     }
 }
 
-pub fn task(index: u32) -> TaskId {
+pub(crate) fn task(index: u32) -> TaskId {
     TaskId {
         job: JobId(1),
         round: 0,
@@ -121,7 +127,7 @@
 }
 
 impl World {
-    pub fn new(document: Document) -> Self {
+    pub(crate) fn new(document: Document) -> Self {
         let mut world = Self {
             state: State::default(),
             lead: Lead::new(Settings::default(), 1, Time(1_000)),
@@ -134,7 +140,7 @@
         world
     }
 
-    pub fn apply(&mut self, record: Record) -> Vec<Reply> {
+    pub(crate) fn apply(&mut self, record: Record) -> Vec<Reply> {
         let batch = Batch {
             at_ms: i64::try_from(self.now).unwrap(),
             list: vec![record],
@@ -142,7 +148,7 @@
         self.state.apply(&batch)
     }
 
-    pub fn submit(&mut self, spec: JobSpec) {
+    pub(crate) fn submit(&mut self, spec: JobSpec) {
         self.apply(Record::Submit {
             id: JobId(1),
             queue: "quick".to_owned(),
@@ -152,7 +158,7 @@
     }
 
     /// A worker announces itself; what has to be recorded is.
-    pub fn beat(&mut self, life: &Life, sequence: u64, draining: bool) {
+    pub(crate) fn beat(&mut self, life: &Life, sequence: u64, draining: bool) {
         let beat = Beat {
             life: life.clone(),
             sequence,
@@ -165,18 +171,18 @@
         }
     }
 
-    pub fn plan(&mut self) -> Plan {
+    pub(crate) fn plan(&mut self) -> Plan {
         let wall = i64::try_from(self.now).unwrap();
         self.lead
             .plan(&self.state, true, 1_000, Time(self.now), wall)
     }
 
     /// A worker answers a question for its runs; what has to be recorded is.
-    pub fn report(&mut self, hold: &Hold, running: &[(TaskId, u32)], ended: Vec<End>) {
+    pub(crate) fn report(&mut self, hold: &Hold, running: &[(TaskId, u32)], ended: Vec<End>) {
         self.answer(hold, running, ended, 10);
     }
 
-    pub fn report_percent(&mut self, hold: &Hold, running: &[(TaskId, u32)], percent: u64) {
+    pub(crate) fn report_percent(&mut self, hold: &Hold, running: &[(TaskId, u32)], percent: u64) {
         self.answer(hold, running, Vec::new(), percent);
     }
 
@@ -204,13 +210,13 @@
     }
 
     /// No answer to a question for runs.
-    pub fn silent(&mut self, hold: &Hold) {
+    pub(crate) fn silent(&mut self, hold: &Hold) {
         let found = self.lead.reported(&self.state, hold, None, Time(self.now));
         assert_eq!(found, [], "silence tells nothing");
     }
 
     /// Records starts and returns the orders for them.
-    pub fn start(&mut self, starts: Vec<Start>) -> Vec<StartCall> {
+    pub(crate) fn start(&mut self, starts: Vec<Start>) -> Vec<StartCall> {
         let replies = self.apply(Record::Start(starts));
         let Some(Reply::Started(valid)) = replies.into_iter().next() else {
             panic!("starts are answered with the valid ones");
@@ -222,7 +228,7 @@
             .collect()
     }
 
-    pub fn outcome(&mut self, order: &StartCall, outcome: &Outcome) {
+    pub(crate) fn outcome(&mut self, order: &StartCall, outcome: &Outcome) {
         let now = Time(self.now);
         if let Some(record) = self.lead.started(&order.call, outcome, now) {
             self.apply(record);
@@ -230,7 +236,7 @@
     }
 
     /// Brings a worker into use: announced, asked and answered.
-    pub fn meet(&mut self, life: &Life) {
+    pub(crate) fn meet(&mut self, life: &Life) {
         self.beat(life, 1, false);
         let plan = self.plan();
         let hold = plan.holds.iter().find(|h| h.worker == life.worker).cloned();
@@ -238,12 +244,12 @@
     }
 
     /// Plans and starts; the orders.
-    pub fn place(&mut self) -> Vec<StartCall> {
+    pub(crate) fn place(&mut self) -> Vec<StartCall> {
         let starts = self.plan().starts;
         self.start(starts)
     }
 
-    pub fn end(&mut self, worker: &str, number: u64, task: TaskId, run: u32, how: How) {
+    pub(crate) fn end(&mut self, worker: &str, number: u64, task: TaskId, run: u32, how: How) {
         let end = End {
             number,
             task,
--- a/crates/zinnia-plan/tests/lead.rs
+++ b/crates/zinnia-plan/tests/lead.rs
@@ -1,5 +1,7 @@
 //! Decisions of a leader about workers that answer late, not at all, or under a new leader.
 
+#![expect(clippy::expect_used, reason = "a broken test world must stop the test")]
+
 mod common;
 
 use common::AHEAD;
