--- a/crates/zinnia-control/src/apply.rs
+++ b/crates/zinnia-control/src/apply.rs
@@ -155,6 +155,8 @@
         }
         (Record::Ends { worker, list, .. }, _) => {
             for end in list {
+                metrics::counter!("zinnia_ends_total", "how" => format!("{:?}", end.how))
+                    .increment(1);
                 let failed = end.how == How::Failed;
                 if failed || end.how == How::Done {
                     lead.judge(worker, end.task, failed, now);
@@ -167,6 +169,7 @@
             lead.noted(worker, now);
         }
         (Record::Void(list), _) => {
+            metrics::counter!("zinnia_voids_total").increment(list.len() as u64);
             for (task, run, _) in list {
                 tracing::info!(event = "void", task = %task, run, "run is certain not to run");
             }
--- a/crates/zinnia-control/src/lead.rs
+++ b/crates/zinnia-control/src/lead.rs
@@ -162,6 +162,12 @@
             event = "start", task = %call.task, run = call.run, worker = call.worker,
             fence = call.fence, outcome = ?outcome, "start order answered"
         );
+        let word = match outcome {
+            Outcome::Accepted { .. } => "accepted",
+            Outcome::Refused { .. } => "refused",
+            Outcome::Unknown => "unknown",
+        };
+        metrics::counter!("zinnia_starts_total", "outcome" => word).increment(1);
         let record_of = {
             let mut core = engine.core();
             let now = clock::now();
@@ -226,6 +232,7 @@
             granted = granted.as_ref().map(Vec::len), via = addr, ms = now_done.since(now),
             "policy answered"
         );
+        metrics::histogram!("zinnia_advice_ms").record(now_done.since(now) as f64);
         let mut core = engine.core();
         if let Some(helper) = core.helpers.get_mut(&addr) {
             helper.load_ms = helper.load_ms.saturating_sub(question.cost_ms);
@@ -252,7 +259,7 @@
     let step: StepId = question.step;
     let workers = question.workers.clone();
     if addr == own {
-        return tokio::time::timeout(limit, (port.advise)(step, workers))
+        return tokio::time::timeout(limit, (port.advise)((step, workers)))
             .await
             .ok()?;
     }
--- a/crates/zinnia-control/src/lib.rs
+++ b/crates/zinnia-control/src/lib.rs
@@ -21,6 +21,8 @@
 pub use message::Request;
 pub use message::View;
 pub use peers::Process;
+pub use port::Granted;
 pub use port::Port;
+pub use port::PortCall;
 pub use port::PortFuture;
 pub use settings::Settings;
--- a/crates/zinnia-control/src/peers.rs
+++ b/crates/zinnia-control/src/peers.rs
@@ -107,7 +107,7 @@
         match decode(&value) {
             Ok(message) => replica.receive(vm, message),
             Err(error) => {
-                tracing::warn!(event = "raft", peer = %vm, %error, "message is unreadable")
+                tracing::warn!(event = "raft", peer = %vm, %error, "message is unreadable");
             }
         }
     }
@@ -117,7 +117,7 @@
             ("advise", _) => {
                 let (job, round, step, workers): (JobId, u32, u32, Vec<String>) = decode(&value)?;
                 let step = StepId { job, round, step };
-                encode(&(port.advise)(step, workers).await)
+                encode(&(port.advise)((step, workers)).await)
             }
             ("ask", Some(engine)) => {
                 let request: Request = decode(&value)?;
--- a/crates/zinnia-control/src/port.rs
+++ b/crates/zinnia-control/src/port.rs
@@ -15,19 +15,22 @@
 /// Future of a call through the port.
 pub type PortFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 
-type Granted = Vec<(String, String)>;
+/// Workers that may run a step, each with its ticket; `None` when no usable answer came.
+pub type Granted = Option<Vec<(String, String)>>;
+/// A call through the port.
+pub type PortCall<Q, A> = Arc<dyn Fn(Q) -> PortFuture<A> + Send + Sync>;
 
 /// Calls to workers and to the outside policy.
 #[derive(Clone)]
 pub struct Port {
     /// Starts a run.
-    pub start: Arc<dyn Fn(StartCall) -> PortFuture<Outcome> + Send + Sync>,
+    pub start: PortCall<StartCall, Outcome>,
     /// Stops a run; whether the worker answered.
-    pub stop: Arc<dyn Fn(Call) -> PortFuture<bool> + Send + Sync>,
+    pub stop: PortCall<Call, bool>,
     /// Asks for runs and renews the lease; `None` when no usable answer came.
-    pub hold: Arc<dyn Fn(Hold) -> PortFuture<Option<Report>> + Send + Sync>,
-    /// Asks the policy which of the workers may run a step; `None` when no usable answer came.
-    pub advise: Arc<dyn Fn(StepId, Vec<String>) -> PortFuture<Option<Granted>> + Send + Sync>,
+    pub hold: PortCall<Hold, Option<Report>>,
+    /// Asks the policy which of the workers may run a step.
+    pub advise: PortCall<(StepId, Vec<String>), Granted>,
 }
 
 impl fmt::Debug for Port {
--- a/crates/zinnia-control/tests/cell.rs
+++ b/crates/zinnia-control/tests/cell.rs
@@ -132,7 +132,7 @@
                 })
             })
         }),
-        advise: Arc::new(|_, _| Box::pin(async { None })),
+        advise: Arc::new(|_| Box::pin(async { None })),
     }
 }
 
