--- a/crates/zinnia-control/src/gateway.rs
+++ b/crates/zinnia-control/src/gateway.rs
@@ -121,7 +121,11 @@
                     Ok(answer) => return answer,
                     Err(error) => {
                         reached |= error.sent;
-                        tracing::info!(event = "ask", peer = addr, error = %error, "no answer from the leader");
+                        // One line for each would flood the log while no leader is in reach; the
+                        // loss itself and the caller's answer are logged.
+                        tracing::debug!(event = "ask", peer = addr, %error, "no answer");
+                        metrics::counter!("zinnia_ask_failures_total", "peer" => addr.clone())
+                            .increment(1);
                         self.moved(&addr, None);
                     }
                 }
