--- a/crates/zinnia-plan/src/job.rs
+++ b/crates/zinnia-plan/src/job.rs
@@ -145,14 +145,4 @@
     pub fn is_complete(&self) -> bool {
         self.rounds.iter().flatten().all(StepState::is_done)
     }
-
-    /// Work that certainly lies ahead on one chain of steps, by the submitter's estimates.
-    pub fn chain_ms(&self) -> u64 {
-        let mut ends: Vec<u64> = Vec::new();
-        for step in &self.spec.steps {
-            let start = step.after.iter().filter_map(|&a| ends.get(a)).max();
-            ends.push(start.copied().unwrap_or(0) + step.estimate_ms);
-        }
-        ends.into_iter().max().unwrap_or(0)
-    }
 }
--- a/crates/zinnia-plan/src/order.rs
+++ b/crates/zinnia-plan/src/order.rs
@@ -26,8 +26,6 @@
     pub suspect_ms: u64,
     /// Distinct jobs that have to fail on a worker before it is suspected.
     pub suspect_jobs: usize,
-    /// How much longer work takes away from its data or across racks.
-    pub remote_factor: u64,
 }
 
 impl Default for Settings {
@@ -41,7 +39,6 @@
             stuck_ms: 2_500,
             suspect_ms: 5_000,
             suspect_jobs: 3,
-            remote_factor: 3,
         }
     }
 }
