Judge a worker by the runs that end beside the failures, and rest a lone worker briefly

A success now ends a quarantine and marks the jobs that failed beside it as unfit; their failures on this worker count no more unless they succeed elsewhere. A probe that fails with a job that failed there before tells nothing new. Without another worker in the domain a quarantine lasts 5 s. Ruled out: sparing the last worker altogether, since a repaired lone worker has to rest (a_repaired_worker_comes_back).

--- a/crates/zinnia-sched/src/fleet.rs
+++ b/crates/zinnia-sched/src/fleet.rs
@@ -132,6 +132,12 @@
 }
 
 impl Fleet {
+    /// Whether a worker beside the one in `slot` is in use.
+    pub(crate) fn has_other(&self, slot: usize) -> bool {
+        let mut others = (0..).zip(&self.workers).filter(|(at, _)| *at != slot);
+        others.any(|(_, w)| w.is_reachable() && w.health.until.is_none())
+    }
+
     /// All workers by slot. Not every one may be used; ask [`Self::accepts`].
     pub fn workers(&self) -> &[Worker] {
         &self.workers
--- a/crates/zinnia-sched/src/retry.rs
+++ b/crates/zinnia-sched/src/retry.rs
@@ -80,7 +80,14 @@
         out: &mut Vec<Action>,
     ) {
         let slot = attempt.worker;
-        self.fleet.workers[slot].health.succeed();
+        let worker = &mut self.fleet.workers[slot];
+        if worker.health.succeed() {
+            out.push(Action::Quarantine {
+                worker: worker.id,
+                until: now,
+            });
+            self.changes.push(slot);
+        }
         self.fleet.probes.remove(&slot);
         self.fleet.refresh(slot);
         let Some(work) = self.jobs.get_mut(&job) else {
@@ -111,10 +118,14 @@
             }
             return;
         }
+        let sound = work.succeeded;
         let worker = &mut self.fleet.workers[slot];
-        let Some(until) = worker.health.fail(job, &set, now) else {
+        if !worker.health.fail(job, sound, &set) {
             return;
-        };
+        }
+        let lone = !self.fleet.has_other(slot);
+        let worker = &mut self.fleet.workers[slot];
+        let until = worker.health.enter(lone, &set, now);
         let jobs = worker.health.fails.clone();
         out.push(Action::Quarantine {
             worker: worker.id,
--- a/crates/zinnia-sched/src/settings.rs
+++ b/crates/zinnia-sched/src/settings.rs
@@ -88,6 +88,9 @@
     pub base: u64,
     /// Longest quarantine.
     pub max: u64,
+    /// Longest quarantine while no other worker of the domain is in use: the work that waits has
+    /// nowhere else to go.
+    pub lone: u64,
 }
 
 impl Default for HealthSettings {
@@ -96,6 +99,7 @@
             jobs: 3,
             base: 30_000,
             max: 1_800_000,
+            lone: 5_000,
         }
     }
 }
--- a/crates/zinnia-sched/tests/faults.rs
+++ b/crates/zinnia-sched/tests/faults.rs
@@ -86,6 +86,58 @@
     assert!(probes <= first + found.len(), "{probes} starts on it");
 }
 
+/// Guards against a lone worker that is condemned for jobs that fail by their own fault: their
+/// short runs end before the longer ones of sound jobs, or before any sound job comes.
+#[test]
+fn a_lone_worker_outlives_bad_jobs() {
+    struct Case {
+        name: &'static str,
+        /// Milliseconds from the bad jobs to the sound ones.
+        gap: u64,
+        /// Milliseconds in which all jobs have to end.
+        limit: u64,
+    }
+    let cases = [
+        Case {
+            name: "together",
+            gap: 0,
+            limit: 8_000,
+        },
+        Case {
+            name: "one after the other",
+            gap: 1_000,
+            limit: 20_000,
+        },
+    ];
+    for case in cases {
+        let mut world = cell(1);
+        let name = |n| format!("bad{n}");
+        let bad: BTreeSet<JobId> = (0..5)
+            .map(|n| JobId::of(common::team("a"), &name(n)))
+            .collect();
+        let known = bad.clone();
+        world.behaviour = Box::new(move |attempt, _, _| {
+            if known.contains(&attempt.job) {
+                (Some(20), Err("no such file".to_owned()))
+            } else {
+                (Some(100), Ok(()))
+            }
+        });
+        for n in 0..5 {
+            world.submit(job(&name(n), "a"));
+        }
+        world.run(case.gap);
+        let good: Vec<_> = (0..20)
+            .map(|n| world.submit(job(&format!("good{n}"), "a")))
+            .collect();
+        world.run(case.limit);
+        let done = |id: &JobId| world.ended.get(id) == Some(&Outcome::Done);
+        assert!(good.iter().all(done), "{}", case.name);
+        let failed = |id: &JobId| matches!(world.ended.get(id), Some(Outcome::Failed { .. }));
+        assert!(bad.iter().all(failed), "{}", case.name);
+    }
+}
+
 /// Guards against a quarantine that outlives the fault.
 #[test]
 fn a_repaired_worker_comes_back() {
