Answer reads only once a new leader has applied what was committed before

The window is longest after a restart, with thousands of entries to apply.

Replica::ready_term compares the commit index with what the thread has applied. Ruled out: the daemon's cell, whose VM leases wait for the applied index already.

Also in this commit: gangs keep only the room they need, for two gangs of a pool at most, tickets of a gang are renewed once its granted workers have room for all of it, and patient queues spare room only for urgent ones.

--- a/crates/zinnia-control/src/engine.rs
+++ b/crates/zinnia-control/src/engine.rs
@@ -98,11 +98,11 @@
     /// A leader is ready for the rest of its term: its later entries are acknowledged only after
     /// they are applied, so a read never misses one, though some may be on their way to the disk.
     pub(crate) fn term(&self) -> Option<u64> {
-        let (term, ready) =
-            self.read(|n| (n.role() == Role::Leader).then(|| (n.term(), n.is_ready())))??;
-        if ready {
-            self.ready_term.store(term, Ordering::Relaxed);
+        let replica = self.replica.get()?;
+        if let Some(ready) = replica.ready_term() {
+            self.ready_term.store(ready, Ordering::Relaxed);
         }
+        let term = replica.read(|n| (n.role() == Role::Leader).then(|| n.term()))?;
         (self.ready_term.load(Ordering::Relaxed) == term).then_some(term)
     }
 
--- a/crates/zinnia-plan/src/advice.rs
+++ b/crates/zinnia-plan/src/advice.rs
@@ -5,6 +5,8 @@
 
 use zinnia_types::Time;
 
+use crate::Plan;
+use crate::Policy;
 use crate::StepId;
 
 /// Least time that a ticket has left when a start is planned with it.
@@ -50,6 +52,25 @@
         (now.after(TICKET_SLACK_MS) < ticket.until).then_some(ticket.text.as_str())
     }
 
+    /// Adds a question about these workers to the plan; whether one was added.
+    pub(crate) fn ask(
+        &mut self,
+        step: StepId,
+        names: &[&str],
+        policy: &Policy,
+        now: Time,
+        plan: &mut Plan,
+    ) -> bool {
+        if names.is_empty() || now < self.retry || plan.ask_ms == 0 {
+            return false;
+        }
+        let question = question(step, names, policy);
+        plan.ask_ms = plan.ask_ms.saturating_sub(question.cost_ms);
+        self.asked.clone_from(&question.workers);
+        plan.questions.push(question);
+        true
+    }
+
     /// Forgets the ticket of a worker that refused it.
     pub(crate) fn drop_ticket(&mut self, worker: &str) {
         self.tickets.remove(worker);
@@ -82,3 +103,20 @@
         }
     }
 }
+
+fn question(step: StepId, names: &[&str], policy: &Policy) -> Question {
+    let count = u32::try_from(names.len()).unwrap_or(u32::MAX);
+    let cost = policy.base_ms + policy.each_ms * f64::from(count);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a few seconds"
+    )]
+    let cost_ms = cost.max(0.0) as u64;
+    Question {
+        step,
+        workers: names.iter().map(|w| (*w).to_owned()).collect(),
+        cost_ms,
+        valid_ms: policy.valid_ms,
+    }
+}
--- a/crates/zinnia-plan/src/place.rs
+++ b/crates/zinnia-plan/src/place.rs
@@ -9,7 +9,6 @@
 use crate::Lead;
 use crate::Plan;
 use crate::Policy;
-use crate::Question;
 use crate::Queue;
 use crate::Room;
 use crate::Start;
@@ -24,10 +23,15 @@
 
 /// Most workers that one question to the policy names.
 const MOST_NAMED: usize = 30;
-/// Priority from which queues leave room for more urgent ones in the same pool.
+/// Priority of urgent queues.
+const URGENT: u32 = 0;
+/// Priority from which queues leave room for urgent ones in the same pool.
 const PATIENT: u32 = 2;
 /// Share of a pool's room, in percent, that patient queues leave free.
 const SPARE_PERCENT: u64 = 20;
+/// Gangs of a pool for which room is kept at the same time. Each keeps more than it uses, since
+/// the workers do not become free at once; with many, half of a pool stands idle.
+const MOST_KEPT: usize = 2;
 /// How long a gang waits before room is kept free for it.
 const KEEP_ROOM_MS: i64 = 500;
 /// How long a gang waits for room in one rack before it is spread over several.
@@ -46,7 +50,9 @@
 struct Free<'a> {
     worker: &'a Worker,
     room: Room,
-    /// What of it no open question to the policy is about.
+    /// What is kept for gangs that wait, whether it is free already or not.
+    kept: Room,
+    /// What of the free room no open question to the policy is about.
     unasked: Room,
     /// Whether tasks that fill, and tasks that serve, run here.
     fills: bool,
@@ -54,6 +60,11 @@
 }
 
 impl Free<'_> {
+    /// Free room that is not kept for a gang.
+    fn open(&self) -> Room {
+        self.room.minus(&self.kept)
+    }
+
     fn rack(&self) -> &str {
         self.worker.life.labels.last().map_or("", String::as_str)
     }
@@ -64,6 +75,8 @@
     state: &'a State,
     free: BTreeMap<&'a str, Free<'a>>,
     usage: BTreeMap<&'a str, Room>,
+    /// Gangs for which room is kept, by pool.
+    keeps: BTreeMap<&'a str, usize>,
     now: Time,
     wall_ms: i64,
 }
@@ -80,6 +93,7 @@
             state,
             free: self.free(state, now),
             usage: BTreeMap::new(),
+            keeps: BTreeMap::new(),
             now,
             wall_ms,
         };
@@ -115,6 +129,7 @@
             let entry = Free {
                 worker,
                 room,
+                kept: Room::default(),
                 unasked: room,
                 fills,
                 serves,
@@ -128,62 +143,84 @@
         if pass.must_spare(due) {
             return;
         }
-        let able = pass.able(due);
-        let Some(policy) = due.queue.policy else {
-            let left = pass.put_all(due, &able, plan);
-            if left > 0 {
-                let capable = pass.capable(due);
-                pass.keep_room(due, &capable);
+        match due.queue.policy {
+            None => {
+                let able = pass.able(due);
+                if pass.put_all(due, &able, plan) > 0 {
+                    let capable = pass.capable(due);
+                    pass.keep_room(due, &capable);
+                }
             }
-            return;
-        };
+            Some(policy) if due.step.gang => self.place_gang(pass, due, &policy, plan),
+            Some(policy) => self.place_tasks(pass, due, &policy, plan),
+        }
+    }
+
+    /// Places the tasks of a step for which a policy decides, and asks it about further workers.
+    fn place_tasks<'a>(
+        &mut self,
+        pass: &mut Pass<'a>,
+        due: &Due<'a>,
+        policy: &Policy,
+        plan: &mut Plan,
+    ) {
         let now = pass.now;
+        let mut able = pass.able(due);
         let advice = self.advice.entry(due.id).or_default();
-        let held = able
-            .iter()
-            .copied()
-            .filter(|w| advice.ticket(w, now).is_some());
-        let left = pass.put_all(due, &held.collect::<Vec<_>>(), plan);
+        able.retain(|w| advice.ticket(w, now).is_some());
+        let left = pass.put_all(due, &able, plan);
         if left == 0 {
             return;
         }
-        let granted = pass
-            .capable(due)
-            .into_iter()
-            .filter(|w| advice.granted.contains(*w));
-        pass.keep_room(due, &granted.collect::<Vec<_>>());
         if !advice.asked.is_empty() {
             pass.reserve(due, &advice.asked, left);
             return;
         }
-        if now < advice.retry || plan.ask_ms == 0 {
-            return;
-        }
         let names = pass.names(due, advice);
-        if !names.is_empty() {
-            let question = question(due.id, &names, &policy);
-            plan.ask_ms = plan.ask_ms.saturating_sub(question.cost_ms);
-            advice.asked.clone_from(&question.workers);
-            pass.reserve(due, &question.workers, left);
-            plan.questions.push(question);
+        if advice.ask(due.id, &names, policy, now, plan) {
+            pass.reserve(due, &advice.asked, left);
         }
     }
-}
 
-fn question(step: StepId, names: &[&str], policy: &Policy) -> Question {
-    let count = u32::try_from(names.len()).unwrap_or(u32::MAX);
-    let cost = policy.base_ms + policy.each_ms * f64::from(count);
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a few seconds"
-    )]
-    let cost_ms = cost.max(0.0) as u64;
-    Question {
-        step,
-        workers: names.iter().map(|w| (*w).to_owned()).collect(),
-        cost_ms,
-        valid_ms: policy.valid_ms,
+    /// Places a gang for which a policy decides.
+    ///
+    /// Tickets hold for a short time only, so they are renewed once the granted workers have room
+    /// for the whole gang, and the room is kept until the answer is there.
+    fn place_gang<'a>(
+        &mut self,
+        pass: &mut Pass<'a>,
+        due: &Due<'a>,
+        policy: &Policy,
+        plan: &mut Plan,
+    ) {
+        let now = pass.now;
+        if !pass.within_cap(due, due.tasks.tasks.len() as u64) {
+            return;
+        }
+        let advice = self.advice.entry(due.id).or_default();
+        let mut able = pass.able(due);
+        able.retain(|w| advice.granted.contains(*w));
+        able.sort_by_key(|w| advice.ticket(w, now).is_none());
+        let mut names = match pass.choose(due, &able) {
+            Some(choice) => {
+                if choice.iter().all(|w| advice.ticket(w, now).is_some()) {
+                    pass.start_gang(due, &choice, plan);
+                    return;
+                }
+                pass.keep(due, &choice);
+                choice
+            }
+            None => {
+                let mut granted = pass.capable(due);
+                granted.retain(|w| advice.granted.contains(*w));
+                pass.keep_room(due, &granted);
+                pass.unknown(due, advice)
+            }
+        };
+        names.dedup();
+        if advice.asked.is_empty() {
+            advice.ask(due.id, &names, policy, now, plan);
+        }
     }
 }
 
@@ -251,11 +288,11 @@
         rows.into_iter().map(|(name, _)| name).collect()
     }
 
-    /// Whether the step has to leave the room that is left to more urgent queues: a burst of them
-    /// then finds room at once, while patient jobs may take several times their work.
+    /// Whether the step has to leave the room that is left to urgent queues: a burst of them then
+    /// finds room at once, while patient jobs may take several times their work.
     fn must_spare(&self, due: &Due<'_>) -> bool {
         let queue = due.queue;
-        let urgent = |q: &Queue| q.pool == queue.pool && q.priority < queue.priority;
+        let urgent = |q: &Queue| q.pool == queue.pool && q.priority == URGENT;
         if queue.priority < PATIENT || !self.state.document.queues.iter().any(urgent) {
             return false;
         }
@@ -273,7 +310,7 @@
 
     fn has_room(&self, due: &Due<'_>, name: &str) -> bool {
         let need = due.step.charge();
-        self.free.get(name).is_some_and(|f| f.room.fits(&need))
+        self.free.get(name).is_some_and(|f| f.open().fits(&need))
     }
 
     /// Workers with room for a task of the step, the best first.
@@ -306,14 +343,24 @@
         };
         let mut names: Vec<&str> = capable.iter().filter(renew).copied().collect();
         if names.is_empty() {
-            let unknown = |w: &&str| !advice.granted.contains(*w) && !advice.denied.contains(*w);
-            names = capable.into_iter().filter(unknown).collect();
-            names.sort_by_key(|w| !idle(w));
+            return self.unknown(due, advice);
         }
         names.truncate(MOST_NAMED);
         names
     }
 
+    /// Workers of which the policy has not said whether they may run the step, those with room
+    /// first.
+    fn unknown(&self, due: &Due<'_>, advice: &Advice) -> Vec<&'a str> {
+        let need = due.step.charge();
+        let idle = |w: &&str| self.free.get(*w).is_some_and(|f| f.unasked.fits(&need));
+        let mut names = self.capable(due);
+        names.retain(|w| !advice.granted.contains(*w) && !advice.denied.contains(*w));
+        names.sort_by_key(|w| !idle(w));
+        names.truncate(MOST_NAMED);
+        names
+    }
+
     /// Keeps later steps from asking about the room that this step asks about.
     fn reserve(&mut self, due: &Due<'_>, names: &[String], left: usize) {
         let need = due.step.charge();
@@ -324,11 +371,27 @@
         }
     }
 
+    /// Keeps room on these workers for the members of a gang.
+    fn keep(&mut self, due: &Due<'_>, names: &[&'a str]) {
+        let need = due.step.charge();
+        for name in names {
+            if let Some(free) = self.free.get_mut(name) {
+                free.kept = free.kept.plus(&need);
+                free.unasked = free.unasked.minus(&need);
+            }
+        }
+    }
+
     /// Keeps room that becomes free for a gang that waits: smaller tasks would take it bit by bit.
-    fn keep_room(&mut self, due: &Due<'_>, names: &[&'a str]) {
+    fn keep_room(&mut self, due: &Due<'a>, names: &[&'a str]) {
         if !due.step.gang || self.wall_ms - due.job.accepted_ms < KEEP_ROOM_MS {
             return;
         }
+        let served = self.keeps.entry(due.queue.pool.as_str()).or_default();
+        if *served >= MOST_KEPT {
+            return;
+        }
+        *served += 1;
         let need = due.step.charge();
         let mut left = due.tasks.tasks.len();
         // Workers sort by their room, those with the most last.
@@ -336,13 +399,19 @@
             let Some(free) = self.free.get_mut(name) else {
                 continue;
             };
-            let mut whole = free.worker.life.room;
-            while left > 0 && whole.fits(&need) {
+            let mut whole = free.worker.life.room.minus(&free.kept);
+            let most = match due.step.per_worker {
+                0 => u32::MAX,
+                n => n,
+            };
+            let mut here = 0;
+            while left > 0 && here < most && whole.fits(&need) {
                 whole = whole.minus(&need);
+                here += 1;
+                free.kept = free.kept.plus(&need);
+                free.unasked = free.unasked.minus(&need);
                 left -= 1;
             }
-            free.room = Room::default();
-            free.unasked = Room::default();
             if left == 0 {
                 return;
             }
@@ -410,7 +479,6 @@
 
     /// Places tasks one by one; returns how many are left.
     fn tasks(&mut self, due: &Due<'a>, able: &[&'a str], plan: &mut Plan) -> usize {
-        let need = due.step.charge();
         let mut beside = self.beside(due);
         let mut left = 0;
         for (index, task) in (0..).zip(&due.tasks.tasks) {
@@ -421,7 +489,7 @@
                 return 0;
             }
             let fits = |name: &&&'a str| {
-                let room = self.free.get(**name).is_some_and(|f| f.room.fits(&need));
+                let room = self.has_room(due, name);
                 let most = due.step.per_worker;
                 let few = most == 0 || beside.get(**name).is_none_or(|n| *n < most);
                 room && few
@@ -448,30 +516,38 @@
         if !self.within_cap(due, count as u64) {
             return 0;
         }
-        let mut choice = None;
+        let Some(choice) = self.choose(due, able) else {
+            return count;
+        };
+        self.start_gang(due, &choice, plan);
+        0
+    }
+
+    /// A worker for each member of a gang, if there is room for all.
+    fn choose(&self, due: &Due<'_>, able: &[&'a str]) -> Option<Vec<&'a str>> {
+        let count = due.tasks.tasks.len();
         if due.step.same_rack && count > 1 {
             let racks: BTreeSet<&str> = able.iter().filter_map(|w| self.rack(w)).collect();
-            choice = racks.into_iter().find_map(|rack| {
+            let choice = racks.into_iter().find_map(|rack| {
                 let inside = able.iter().copied().filter(|w| self.rack(w) == Some(rack));
                 self.spread(due, inside.collect(), count)
             });
             let waited = self.wall_ms - due.job.accepted_ms;
-            if choice.is_none() && waited < RACK_WAIT_MS {
-                return count;
+            if choice.is_some() || waited < RACK_WAIT_MS {
+                return choice;
             }
         }
-        let choice = choice.or_else(|| self.spread(due, able.to_vec(), count));
-        let Some(names) = choice else {
-            return count;
-        };
+        self.spread(due, able.to_vec(), count)
+    }
+
+    fn start_gang(&mut self, due: &Due<'a>, choice: &[&'a str], plan: &mut Plan) {
         let run = due.tasks.tasks.iter().map(|t| t.run).max().unwrap_or(0) + 1;
-        for (index, name) in (0..).zip(names) {
+        for (index, name) in (0..).zip(choice) {
             if let Some(start) = self.start(due, index, run, name) {
                 plan.starts.push(start);
                 self.put(due, name);
             }
         }
-        0
     }
 
     fn rack(&self, name: &str) -> Option<&'a str> {
@@ -484,7 +560,7 @@
         let need = due.step.charge();
         let mut names = Vec::new();
         for name in able {
-            let mut room = self.free.get(name)?.room;
+            let mut room = self.free.get(name)?.open();
             let mut here = 0;
             while names.len() < count
                 && room.fits(&need)
--- a/crates/zinnia-plan/tests/lead.rs
+++ b/crates/zinnia-plan/tests/lead.rs
@@ -307,6 +307,83 @@
     assert!(world.place().is_empty(), "the room is kept for the gang");
 }
 
+/// Guards against a gang that keeps whole workers from other jobs when it needs a part of them.
+#[test]
+fn a_gang_keeps_what_it_needs() {
+    let mut world = World::new(document(None));
+    for name in ["w", "v"] {
+        world.meet(&life(name, 8_000));
+    }
+    let submit = |world: &mut World, id, spec| {
+        world.apply(zinnia_plan::Record::Submit {
+            id: zinnia_types::JobId(id),
+            queue: "quick".to_owned(),
+            team: "kibo".to_owned(),
+            spec,
+        })
+    };
+    submit(&mut world, 2, job(vec![step(1, 6_000)]));
+    assert_eq!(world.place().len(), 1);
+    let gang = zinnia_plan::Step {
+        gang: true,
+        per_worker: 1,
+        ..step(2, 3_000)
+    };
+    submit(&mut world, 3, job(vec![gang]));
+    world.now += 600;
+    for name in ["w", "v"] {
+        world.beat(&life(name, 8_000), 2, false);
+    }
+    submit(&mut world, 4, job(vec![step(9, 1_000)]));
+    let orders = world.place();
+    let started: Vec<u32> = orders.iter().map(|o| o.call.task.index).collect();
+    assert_eq!(started, [0, 1, 2, 3, 4], "all but the room of the gang");
+}
+
+/// Guards against patient queues that starve, because they leave room to queues that are not
+/// urgent; and against ones that leave none to a burst of urgent jobs.
+#[test]
+fn patient_queues_leave_room_to_urgent_ones() {
+    struct Case {
+        name: &'static str,
+        priority: u32,
+        started: usize,
+    }
+    let cases = [
+        Case {
+            name: "urgent",
+            priority: 0,
+            started: 0,
+        },
+        Case {
+            name: "not urgent",
+            priority: 1,
+            started: 1,
+        },
+    ];
+    for case in cases {
+        let mut doc = document(None);
+        doc.queues[0].priority = 2;
+        doc.queues.push(zinnia_plan::Queue {
+            name: "other".to_owned(),
+            prefix: "/o/".to_owned(),
+            priority: case.priority,
+            ..doc.queues[0].clone()
+        });
+        let mut world = World::new(doc);
+        world.meet(&life("w", 10_000));
+        world.apply(zinnia_plan::Record::Submit {
+            id: zinnia_types::JobId(2),
+            queue: "other".to_owned(),
+            team: "kibo".to_owned(),
+            spec: job(vec![step(1, 9_000)]),
+        });
+        assert_eq!(world.place().len(), 1, "{}", case.name);
+        world.submit(job(vec![step(1, 1_000)]));
+        assert_eq!(world.place().len(), case.started, "{}", case.name);
+    }
+}
+
 /// Guards against a job that hangs on a worker which answers but makes no progress, and against
 /// stopping runs that wait for a good reason.
 #[test]
--- a/crates/zinnia-replica/src/replica.rs
+++ b/crates/zinnia-replica/src/replica.rs
@@ -215,6 +215,16 @@
         *self.applied.borrow()
     }
 
+    /// Term of the own leadership, once all that was committed before it is applied here.
+    ///
+    /// The node counts entries as applied when it hands them to the log thread, which syncs and
+    /// applies them later; a read in between would show a state older than what was acknowledged.
+    pub fn ready_term(&self) -> Option<u64> {
+        let ready = |n: &Node| n.is_ready().then(|| (n.term(), n.commit()));
+        let (term, commit) = self.read(ready)?;
+        (self.applied() >= commit).then_some(term)
+    }
+
     /// Why the disk is out of use, if it is.
     pub fn fault(&self) -> Option<String> {
         lock(&self.fault).clone()
