--- a/crates/zinnia-replica/tests/ready.rs
+++ b/crates/zinnia-replica/tests/ready.rs
@@ -1,7 +1,5 @@
 //! When a leader may answer reads.
 
-#![expect(clippy::expect_used, reason = "a broken test world must stop the test")]
-
 use std::sync::Mutex;
 use std::sync::mpsc;
 use std::time::Duration;
