--- a/crates/zinnia-plan/src/lead.rs
+++ b/crates/zinnia-plan/src/lead.rs
@@ -19,6 +19,7 @@
 use crate::Status;
 use crate::StepId;
 use crate::TaskId;
+use crate::Worker;
 use crate::advice::Advice;
 use crate::contact::Contact;
 use crate::contact::Order;
@@ -36,6 +37,8 @@
     pub(crate) advice: BTreeMap<StepId, Advice>,
 }
 
+/// Longest time after which an order without an answer may still be carried out.
+const LATE_MS: u64 = 12_000;
 /// Tokens that one leadership may use for a worker.
 const FENCES: u64 = 1 << 20;
 
@@ -61,12 +64,16 @@
 
     fn contact(&mut self, worker: &str, born: i64, now: Time) -> &mut Contact {
         let (base, until) = (self.base, self.old_until());
+        let lease = self.settings.hold_max_ms;
         let found = self
             .contacts
             .entry(worker.to_owned())
             .or_insert_with(|| Contact::new(born, base, now, until));
         if found.born < born {
-            *found = Contact::new(born, base, now, until);
+            // Orders to the earlier life under this name may reach the new one, whose clock began
+            // anew: the token shuts them out, and a lease may last from their latest arrival.
+            let until = until.max(now.after(LATE_MS + lease + lease / 40));
+            *found = Contact::new(born, found.fence + 1, now, until);
         }
         found
     }
@@ -341,7 +348,7 @@
     /// Gives up the runs of workers whose leases have certainly run out.
     fn lapse(&mut self, state: &State, now: Time, plan: &mut Plan) {
         for (name, contact) in &mut self.contacts {
-            let Some(worker) = state.workers.get(name) else {
+            let Some(worker) = contact.life(state, name) else {
                 continue;
             };
             if worker.runs.is_empty() || contact.lapsed || !contact.is_over(now) {
@@ -365,7 +372,7 @@
         let pause = self.settings.stop_ms;
         let (stuck_ms, suspect_ms) = (self.settings.stuck_ms, self.settings.suspect_ms);
         for (name, contact) in &mut self.contacts {
-            let Some(worker) = state.workers.get(name) else {
+            let Some(worker) = contact.life(state, name) else {
                 continue;
             };
             contact.stops.retain(|_, at| now.since(*at) < pause * 4);
@@ -400,7 +407,7 @@
         let lease = self.settings.lease_ms;
         let wait = self.settings.wait_ms;
         for (name, contact) in &mut self.contacts {
-            let Some(worker) = state.workers.get(name) else {
+            let Some(worker) = contact.life(state, name) else {
                 continue;
             };
             let unsure = contact.confirmed < contact.fence;
@@ -471,6 +478,12 @@
 }
 
 impl Contact {
+    /// The worker in the state, while the state knows the life that this contact is about.
+    fn life<'a>(&self, state: &'a State, name: &str) -> Option<&'a Worker> {
+        let worker = state.workers.get(name)?;
+        (worker.life.born == self.born).then_some(worker)
+    }
+
     /// Notes progress of the runs in a report and forgets orders that it settles.
     fn see(&mut self, report: &Report, now: Time) {
         let mut seen = BTreeMap::new();
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -184,7 +184,10 @@
             return;
         }
         // One address belongs to one worker at a time, so an older worker there has ended.
-        let shared = |w: &&Worker| w.life.addr == life.addr && w.life.born < life.born && !w.left;
+        let shared = |w: &&Worker| {
+            let other = w.life.worker != life.worker && !w.left;
+            other && w.life.addr == life.addr && w.life.born < life.born
+        };
         let over: Vec<(String, i64)> = self
             .workers
             .values()
@@ -194,11 +197,13 @@
         for (worker, born) in over {
             self.leave(&worker, born);
         }
-        if let Some(born) = self.workers.get(&life.worker).map(|w| w.life.born) {
-            self.leave(&life.worker, born);
-        }
+        // Orders to the earlier life may have reached this one, so its runs stay until the worker
+        // has been asked for them.
+        let before = self.workers.remove(&life.worker).unwrap_or_default();
         let worker = Worker {
             life: life.clone(),
+            runs: before.runs,
+            used: before.used,
             ..Worker::default()
         };
         self.workers.insert(life.worker.clone(), worker);
--- a/crates/zinnia-plan/tests/lead.rs
+++ b/crates/zinnia-plan/tests/lead.rs
@@ -445,3 +445,48 @@
         assert_eq!(stops > 0, case.stopped, "{}: {stops} stops", case.name);
     }
 }
+
+/// Guards against a task that runs twice, because an order to a worker's earlier life was carried
+/// out by a new life under the same name; and against a worker that is asked with a token lower
+/// than one that it has seen.
+#[test]
+fn an_order_reaches_a_new_life() {
+    struct Case {
+        name: &'static str,
+        listed: bool,
+    }
+    let cases = [
+        Case {
+            name: "carried out by the new life",
+            listed: true,
+        },
+        Case {
+            name: "carried out by the earlier life",
+            listed: false,
+        },
+    ];
+    for case in cases {
+        let (mut world, order) = at_work();
+        world.outcome(&order, &Outcome::Unknown);
+        world.meet(&life("v", 4_000));
+        let reborn = zinnia_plan::Life {
+            born: 2,
+            ..life("w", 4_000)
+        };
+        world.beat(&reborn, 1, false);
+        let mut plan = world.plan();
+        assert_eq!(plan.starts, [], "{}: no second run meanwhile", case.name);
+        let at = plan.holds.iter().position(|h| h.worker == "w");
+        let hold = plan.holds.remove(at.expect("the new life is asked"));
+        assert_eq!(hold.born, 2, "{}", case.name);
+        assert!(hold.fence > order.call.fence + 1, "{}", case.name);
+        assert_eq!(hold.noted, 0, "{}", case.name);
+        let list = if case.listed {
+            vec![running(&order)]
+        } else {
+            Vec::new()
+        };
+        world.report(&hold, &list, Vec::new());
+        assert_eq!(world.place().is_empty(), case.listed, "{}", case.name);
+    }
+}
