--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -7,6 +7,7 @@
 mod advice;
 mod contact;
 mod document;
+mod gang;
 mod job;
 mod lead;
 mod order;
--- a/crates/zinnia-plan/src/place.rs
+++ b/crates/zinnia-plan/src/place.rs
@@ -1,7 +1,6 @@
 //! Choice of workers for tasks that wait.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use zinnia_types::Time;
 
@@ -29,39 +28,32 @@
 const PATIENT: u32 = 2;
 /// Share of a pool's room, in percent, that patient queues leave free.
 const SPARE_PERCENT: u64 = 20;
-/// Gangs of a pool for which room is kept at the same time. Each keeps more than it uses, since
-/// the workers do not become free at once; with many, half of a pool stands idle.
-const MOST_KEPT: usize = 2;
-/// How long a gang waits before room is kept free for it.
-const KEEP_ROOM_MS: i64 = 500;
-/// How long a gang waits for room in one rack before it is spread over several.
-const RACK_WAIT_MS: i64 = 2_000;
 
 /// A step with tasks that wait.
-struct Due<'a> {
-    id: StepId,
-    job: &'a Job,
-    step: &'a Step,
-    tasks: &'a StepState,
-    queue: &'a Queue,
+pub(crate) struct Due<'a> {
+    pub(crate) id: StepId,
+    pub(crate) job: &'a Job,
+    pub(crate) step: &'a Step,
+    pub(crate) tasks: &'a StepState,
+    pub(crate) queue: &'a Queue,
 }
 
 /// Free room as the pass goes on.
-struct Free<'a> {
-    worker: &'a Worker,
-    room: Room,
+pub(crate) struct Free<'a> {
+    pub(crate) worker: &'a Worker,
+    pub(crate) room: Room,
     /// What is kept for gangs that wait, whether it is free already or not.
-    kept: Room,
+    pub(crate) kept: Room,
     /// What of the free room no open question to the policy is about.
-    unasked: Room,
+    pub(crate) unasked: Room,
     /// Whether tasks that fill, and tasks that serve, run here.
-    fills: bool,
-    serves: bool,
+    pub(crate) fills: bool,
+    pub(crate) serves: bool,
 }
 
 impl Free<'_> {
     /// Free room that is not kept for a gang.
-    fn open(&self) -> Room {
+    pub(crate) fn open(&self) -> Room {
         self.room.minus(&self.kept)
     }
 
@@ -71,14 +63,14 @@
 }
 
 /// What a pass works on.
-struct Pass<'a> {
-    state: &'a State,
-    free: BTreeMap<&'a str, Free<'a>>,
-    usage: BTreeMap<&'a str, Room>,
+pub(crate) struct Pass<'a> {
+    pub(crate) state: &'a State,
+    pub(crate) free: BTreeMap<&'a str, Free<'a>>,
+    pub(crate) usage: BTreeMap<&'a str, Room>,
     /// Gangs for which room is kept, by pool.
-    keeps: BTreeMap<&'a str, usize>,
-    now: Time,
-    wall_ms: i64,
+    pub(crate) keeps: BTreeMap<&'a str, usize>,
+    pub(crate) now: Time,
+    pub(crate) wall_ms: i64,
 }
 
 impl Lead {
@@ -181,47 +173,6 @@
             pass.reserve(due, &advice.asked, left);
         }
     }
-
-    /// Places a gang for which a policy decides.
-    ///
-    /// Tickets hold for a short time only, so they are renewed once the granted workers have room
-    /// for the whole gang, and the room is kept until the answer is there.
-    fn place_gang<'a>(
-        &mut self,
-        pass: &mut Pass<'a>,
-        due: &Due<'a>,
-        policy: &Policy,
-        plan: &mut Plan,
-    ) {
-        let now = pass.now;
-        if !pass.within_cap(due, due.tasks.tasks.len() as u64) {
-            return;
-        }
-        let advice = self.advice.entry(due.id).or_default();
-        let mut able = pass.able(due);
-        able.retain(|w| advice.granted.contains(*w));
-        able.sort_by_key(|w| advice.ticket(w, now).is_none());
-        let mut names = match pass.choose(due, &able) {
-            Some(choice) => {
-                if choice.iter().all(|w| advice.ticket(w, now).is_some()) {
-                    pass.start_gang(due, &choice, plan);
-                    return;
-                }
-                pass.keep(due, &choice);
-                choice
-            }
-            None => {
-                let mut granted = pass.capable(due);
-                granted.retain(|w| advice.granted.contains(*w));
-                pass.keep_room(due, &granted);
-                pass.unknown(due, advice)
-            }
-        };
-        names.dedup();
-        if advice.asked.is_empty() {
-            advice.ask(due.id, &names, policy, now, plan);
-        }
-    }
 }
 
 /// Steps whose turn has come and that have tasks without a worker.
@@ -268,7 +219,7 @@
 
 impl<'a> Pass<'a> {
     /// Workers that could run a task of the step if they had room, the best first.
-    fn capable(&self, due: &Due<'_>) -> Vec<&'a str> {
+    pub(crate) fn capable(&self, due: &Due<'_>) -> Vec<&'a str> {
         let step = due.step;
         let fit = |f: &Free<'a>| {
             let life = &f.worker.life;
@@ -314,7 +265,7 @@
     }
 
     /// Workers with room for a task of the step, the best first.
-    fn able(&self, due: &Due<'_>) -> Vec<&'a str> {
+    pub(crate) fn able(&self, due: &Due<'_>) -> Vec<&'a str> {
         let mut names = self.capable(due);
         names.retain(|name| self.has_room(due, name));
         names
@@ -351,7 +302,7 @@
 
     /// Workers of which the policy has not said whether they may run the step, those with room
     /// first.
-    fn unknown(&self, due: &Due<'_>, advice: &Advice) -> Vec<&'a str> {
+    pub(crate) fn unknown(&self, due: &Due<'_>, advice: &Advice) -> Vec<&'a str> {
         let need = due.step.charge();
         let idle = |w: &&str| self.free.get(*w).is_some_and(|f| f.unasked.fits(&need));
         let mut names = self.capable(due);
@@ -371,55 +322,8 @@
         }
     }
 
-    /// Keeps room on these workers for the members of a gang.
-    fn keep(&mut self, due: &Due<'_>, names: &[&'a str]) {
-        let need = due.step.charge();
-        for name in names {
-            if let Some(free) = self.free.get_mut(name) {
-                free.kept = free.kept.plus(&need);
-                free.unasked = free.unasked.minus(&need);
-            }
-        }
-    }
-
-    /// Keeps room that becomes free for a gang that waits: smaller tasks would take it bit by bit.
-    fn keep_room(&mut self, due: &Due<'a>, names: &[&'a str]) {
-        if !due.step.gang || self.wall_ms - due.job.accepted_ms < KEEP_ROOM_MS {
-            return;
-        }
-        let served = self.keeps.entry(due.queue.pool.as_str()).or_default();
-        if *served >= MOST_KEPT {
-            return;
-        }
-        *served += 1;
-        let need = due.step.charge();
-        let mut left = due.tasks.tasks.len();
-        // Workers sort by their room, those with the most last.
-        for name in names.iter().rev() {
-            let Some(free) = self.free.get_mut(name) else {
-                continue;
-            };
-            let mut whole = free.worker.life.room.minus(&free.kept);
-            let most = match due.step.per_worker {
-                0 => u32::MAX,
-                n => n,
-            };
-            let mut here = 0;
-            while left > 0 && here < most && whole.fits(&need) {
-                whole = whole.minus(&need);
-                here += 1;
-                free.kept = free.kept.plus(&need);
-                free.unasked = free.unasked.minus(&need);
-                left -= 1;
-            }
-            if left == 0 {
-                return;
-            }
-        }
-    }
-
     /// Whether the team may have one more task of this size running.
-    fn within_cap(&mut self, due: &Due<'a>, count: u64) -> bool {
+    pub(crate) fn within_cap(&mut self, due: &Due<'a>, count: u64) -> bool {
         let Some(team) = self.state.document.team(&due.job.team) else {
             return true;
         };
@@ -450,7 +354,7 @@
         count
     }
 
-    fn put(&mut self, due: &Due<'a>, name: &'a str) {
+    pub(crate) fn put(&mut self, due: &Due<'a>, name: &'a str) {
         let room = due.step.room;
         if let Some(free) = self.free.get_mut(name) {
             free.room = free.room.minus(&due.step.charge());
@@ -462,7 +366,7 @@
         *used = used.plus(&room);
     }
 
-    fn start(&self, due: &Due<'_>, index: u32, run: u32, name: &str) -> Option<Start> {
+    pub(crate) fn start(&self, due: &Due<'_>, index: u32, run: u32, name: &str) -> Option<Start> {
         let born = self.free.get(name)?.worker.life.born;
         Some(Start {
             task: TaskId {
@@ -509,68 +413,4 @@
         }
         left
     }
-
-    /// Places a gang as a whole; returns its size when there is no room for it.
-    fn gang(&mut self, due: &Due<'a>, able: &[&'a str], plan: &mut Plan) -> usize {
-        let count = due.tasks.tasks.len();
-        if !self.within_cap(due, count as u64) {
-            return 0;
-        }
-        let Some(choice) = self.choose(due, able) else {
-            return count;
-        };
-        self.start_gang(due, &choice, plan);
-        0
-    }
-
-    /// A worker for each member of a gang, if there is room for all.
-    fn choose(&self, due: &Due<'_>, able: &[&'a str]) -> Option<Vec<&'a str>> {
-        let count = due.tasks.tasks.len();
-        if due.step.same_rack && count > 1 {
-            let racks: BTreeSet<&str> = able.iter().filter_map(|w| self.rack(w)).collect();
-            let choice = racks.into_iter().find_map(|rack| {
-                let inside = able.iter().copied().filter(|w| self.rack(w) == Some(rack));
-                self.spread(due, inside.collect(), count)
-            });
-            let waited = self.wall_ms - due.job.accepted_ms;
-            if choice.is_some() || waited < RACK_WAIT_MS {
-                return choice;
-            }
-        }
-        self.spread(due, able.to_vec(), count)
-    }
-
-    fn start_gang(&mut self, due: &Due<'a>, choice: &[&'a str], plan: &mut Plan) {
-        let run = due.tasks.tasks.iter().map(|t| t.run).max().unwrap_or(0) + 1;
-        for (index, name) in (0..).zip(choice) {
-            if let Some(start) = self.start(due, index, run, name) {
-                plan.starts.push(start);
-                self.put(due, name);
-            }
-        }
-    }
-
-    fn rack(&self, name: &str) -> Option<&'a str> {
-        let worker: &'a Worker = self.free.get(name)?.worker;
-        worker.life.labels.last().map(String::as_str)
-    }
-
-    /// A worker for each of `count` tasks, if there is room for all.
-    fn spread(&self, due: &Due<'_>, able: Vec<&'a str>, count: usize) -> Option<Vec<&'a str>> {
-        let need = due.step.charge();
-        let mut names = Vec::new();
-        for name in able {
-            let mut room = self.free.get(name)?.open();
-            let mut here = 0;
-            while names.len() < count
-                && room.fits(&need)
-                && (due.step.per_worker == 0 || here < due.step.per_worker)
-            {
-                room = room.minus(&need);
-                here += 1;
-                names.push(name);
-            }
-        }
-        (names.len() == count).then_some(names)
-    }
 }
