Look through all runs every 50 ms only, and send entries to members without a vote in batches

A pass of the leader looked through all runs on all workers up to 200 times a second, sorted all workers for each step that waits, and each entry went to three members without a vote in a message of its own.

Runs are looked through every 50 ms, workers without room are left out before sorting, counts of filling and serving runs stand in the state, and members without a vote get entries at most every 50 ms.

--- a/crates/zinnia-control/src/member.rs
+++ b/crates/zinnia-control/src/member.rs
@@ -35,6 +35,9 @@
 
 /// Name of the cell in the store.
 pub(crate) const CLUSTER: &str = "zinnia";
+/// Least time between two messages with entries to a member without a vote. Entries of that time
+/// have to stay below the lag up to which a learner may be promoted.
+const LEARNER_MS: u64 = 50;
 /// Pause between two checks of the members.
 const CHECK: Duration = Duration::from_millis(500);
 /// Longest wait for a change of the members.
@@ -91,6 +94,7 @@
             election_min_ms: settings.election_ms.0,
             election_max_ms: settings.election_ms.1,
             lease_ms: settings.log_lease_ms(),
+            learner_ms: LEARNER_MS,
             ..zinnia_raft::Settings::default()
         };
         let replica = Replica::start(
--- a/crates/zinnia-plan/src/lead.rs
+++ b/crates/zinnia-plan/src/lead.rs
@@ -18,6 +18,7 @@
 use crate::State;
 use crate::Status;
 use crate::StepId;
+use crate::Task;
 use crate::TaskId;
 use crate::Worker;
 use crate::advice::Advice;
@@ -35,8 +36,12 @@
     began: Time,
     pub(crate) contacts: BTreeMap<String, Contact>,
     pub(crate) advice: BTreeMap<StepId, Advice>,
+    /// When all runs were last looked through.
+    swept: Option<Time>,
 }
 
+/// Pause between two looks through all runs for those that lapse or have to stop.
+const SWEEP_MS: u64 = 50;
 /// Longest time after which an order without an answer may still be carried out.
 const LATE_MS: u64 = 12_000;
 /// Tokens that one leadership may use for a worker.
@@ -51,6 +56,7 @@
             began: now,
             contacts: BTreeMap::new(),
             advice: BTreeMap::new(),
+            swept: None,
         }
     }
 
@@ -323,8 +329,11 @@
             ..Plan::default()
         };
         self.meet(state, now);
-        self.lapse(state, now, &mut plan);
-        self.stop(state, now, &mut plan);
+        if self.swept.is_none_or(|at| now.since(at) >= SWEEP_MS) {
+            self.swept = Some(now);
+            self.lapse(state, now, &mut plan);
+            self.stop(state, now, &mut plan);
+        }
         self.hold(state, now, &mut plan);
         if starts {
             self.place(state, now, wall_ms, &mut plan);
@@ -339,8 +348,11 @@
         for (name, worker) in &state.workers {
             if worker.left {
                 self.contacts.remove(name);
-            } else {
-                self.contact(name, worker.life.born, now);
+                continue;
+            }
+            let born = worker.life.born;
+            if self.contacts.get(name).is_none_or(|c| c.born < born) {
+                self.contact(name, born, now);
             }
         }
     }
@@ -470,11 +482,8 @@
     let (Some(states), Some(step)) = (step, job.spec.steps.get(task.step as usize)) else {
         return false;
     };
-    let whole = states
-        .tasks
-        .iter()
-        .all(|t| t.run == run && t.worker.is_some());
-    !step.gang || states.is_done() || whole
+    let here = |t: &Task| t.run == run && t.worker.is_some();
+    !step.gang || states.is_done() || states.tasks.iter().all(here)
 }
 
 impl Contact {
--- a/crates/zinnia-plan/src/place.rs
+++ b/crates/zinnia-plan/src/place.rs
@@ -111,20 +111,14 @@
             if !usable {
                 continue;
             }
-            let kinds = worker.runs.iter().filter_map(|(task, _)| state.step(*task));
-            let (mut fills, mut serves) = (false, false);
-            for step in kinds {
-                fills |= step.fills;
-                serves |= step.target_ms > 0;
-            }
             let room = worker.life.room.minus(&worker.used);
             let entry = Free {
                 worker,
                 room,
                 kept: Room::default(),
                 unasked: room,
-                fills,
-                serves,
+                fills: worker.fills > 0,
+                serves: worker.serves > 0,
             };
             free.insert(name.as_str(), entry);
         }
@@ -220,6 +214,17 @@
 impl<'a> Pass<'a> {
     /// Workers that could run a task of the step if they had room, the best first.
     pub(crate) fn capable(&self, due: &Due<'_>) -> Vec<&'a str> {
+        self.ranked(due, |_| true)
+    }
+
+    /// Workers with room for a task of the step, the best first.
+    pub(crate) fn able(&self, due: &Due<'_>) -> Vec<&'a str> {
+        let need = due.step.charge();
+        self.ranked(due, |f| f.open().fits(&need))
+    }
+
+    /// Workers that could run a task of the step and that `pick` chooses, the best first.
+    fn ranked(&self, due: &Due<'_>, pick: impl Fn(&Free<'a>) -> bool) -> Vec<&'a str> {
         let step = due.step;
         let fit = |f: &Free<'a>| {
             let life = &f.worker.life;
@@ -228,9 +233,8 @@
                 && (step.label.is_empty() || life.labels.contains(&step.label))
                 && !(step.fills && f.serves)
         };
-        let mut rows: Vec<(&'a str, &Free<'a>)> =
-            self.free.iter().map(|(name, f)| (*name, f)).collect();
-        rows.retain(|(_, f)| fit(f));
+        let rows = self.free.iter().map(|(name, f)| (*name, f));
+        let mut rows: Vec<(&'a str, &Free<'a>)> = rows.filter(|(_, f)| pick(f) && fit(f)).collect();
         rows.sort_by_key(|(_, f)| {
             let far = !step.data_rack.is_empty() && f.rack() != step.data_rack;
             let beside = step.target_ms > 0 && f.fills;
@@ -264,13 +268,6 @@
         self.free.get(name).is_some_and(|f| f.open().fits(&need))
     }
 
-    /// Workers with room for a task of the step, the best first.
-    pub(crate) fn able(&self, due: &Due<'_>) -> Vec<&'a str> {
-        let mut names = self.capable(due);
-        names.retain(|name| self.has_room(due, name));
-        names
-    }
-
     /// Places what fits; returns how many tasks are left.
     fn put_all(&mut self, due: &Due<'a>, able: &[&'a str], plan: &mut Plan) -> usize {
         if due.step.gang {
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -42,6 +42,10 @@
     pub runs: BTreeSet<(TaskId, u32)>,
     /// What that takes from the capacity.
     pub used: Room,
+    /// Runs that fill what others leave.
+    pub fills: u32,
+    /// Runs that serve users of their own.
+    pub serves: u32,
 }
 
 /// The state that all members of the log share.
@@ -204,6 +208,8 @@
             life: life.clone(),
             runs: before.runs,
             used: before.used,
+            fills: before.fills,
+            serves: before.serves,
             ..Worker::default()
         };
         self.workers.insert(life.worker.clone(), worker);
@@ -287,6 +293,7 @@
             return;
         };
         let (charge, room) = (step.charge(), step.room);
+        let kinds = (u32::from(step.fills), u32::from(step.target_ms > 0));
         state.placed += 1;
         if let Some(task) = state.tasks.get_mut(id.index as usize) {
             task.run = start.run;
@@ -295,6 +302,8 @@
         if let Some(worker) = self.workers.get_mut(&start.worker) {
             worker.runs.insert((id, start.run));
             worker.used = worker.used.plus(&charge);
+            worker.fills += kinds.0;
+            worker.serves += kinds.1;
         }
         if let Some(job) = self.jobs.get_mut(&id.job) {
             job.begun = true;
@@ -310,6 +319,7 @@
             return false;
         };
         let (charge, room) = (step.charge(), step.room);
+        let kinds = (u32::from(step.fills), u32::from(step.target_ms > 0));
         let Some(task) = state.tasks.get_mut(id.index as usize) else {
             return false;
         };
@@ -323,6 +333,8 @@
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.runs.remove(&(id, run));
             worker.used = worker.used.minus(&charge);
+            worker.fills = worker.fills.saturating_sub(kinds.0);
+            worker.serves = worker.serves.saturating_sub(kinds.1);
         }
         if let Some(job) = self.jobs.get_mut(&id.job) {
             job.placed -= 1;
--- a/crates/zinnia-raft/src/leader.rs
+++ b/crates/zinnia-raft/src/leader.rs
@@ -210,7 +210,10 @@
     /// What to append at `id` now, with its progress advanced accordingly.
     fn next_batch(&mut self, id: VmId) -> Option<Batch> {
         let settings = &self.settings;
+        let votes = self.log.members().is_voter(id);
         let peer = self.peers.get_mut(&id)?;
+        let early = |at: Time| self.now.since(at) < settings.learner_ms;
+        let paced = !votes && peer.batch_at.is_some_and(early);
         let prev = peer.next - 1;
         let held = self.log.term(prev).is_some();
         let alive = self.now.since(peer.heard) < settings.election_min_ms;
@@ -234,7 +237,7 @@
                 })
             }
             Flow::Stream { sent } => {
-                if sent.len() >= settings.window || !held {
+                if sent.len() >= settings.window || !held || paced {
                     return None;
                 }
                 let to = self.log.emitted();
@@ -242,6 +245,7 @@
                 let last = entries.last()?.index;
                 sent.push_back(last);
                 peer.next = last + 1;
+                peer.batch_at = Some(self.now);
                 Some(Batch { prev, entries })
             }
         }
--- a/crates/zinnia-raft/src/progress.rs
+++ b/crates/zinnia-raft/src/progress.rs
@@ -63,6 +63,8 @@
     pub(crate) sent_at: Time,
     /// Commit index that it carried.
     pub(crate) commit_sent: u64,
+    /// When the latest message with entries went out.
+    pub(crate) batch_at: Option<Time>,
 }
 
 impl Progress {
@@ -75,6 +77,7 @@
             heard: now,
             sent_at: now,
             commit_sent: 0,
+            batch_at: None,
         }
     }
 
--- a/crates/zinnia-raft/src/settings.rs
+++ b/crates/zinnia-raft/src/settings.rs
@@ -20,6 +20,8 @@
     pub lease_ms: u64,
     /// Least time between messages that only tell a peer the commit index.
     pub commit_ms: u64,
+    /// Least time between messages with entries to a member without a vote, which nothing waits for.
+    pub learner_ms: u64,
     /// Most bytes of entry data in one message, and so in one command.
     pub message_bytes: usize,
     /// Most bytes of snapshot data in one message.
@@ -44,6 +46,7 @@
             election_max_ms: 4_000,
             lease_ms: 1_800,
             commit_ms: 25,
+            learner_ms: 0,
             message_bytes: 512 * 1_024,
             chunk_bytes: 128 * 1_024,
             window: 16,
--- a/crates/zinnia-raft/tests/rules.rs
+++ b/crates/zinnia-raft/tests/rules.rs
@@ -404,3 +404,71 @@
         }
     }
 }
+
+/// Guards against a leader that spends its time on members without a vote, and against one that
+/// holds entries back from voters or for good.
+#[test]
+fn members_without_a_vote_get_entries_in_batches() {
+    let ids = [(1, true), (2, true), (3, true), (4, false)];
+    let members: Vec<_> = ids.map(|(id, votes)| member(VmId(id), votes)).to_vec();
+    let recovered = Recovered {
+        snapshot: Some(Snapshot::initial(Members::from(members))),
+        ..Recovered::default()
+    };
+    let settings = Settings {
+        id: VmId(1),
+        learner_ms: 50,
+        ..Settings::default()
+    };
+    let mut node = Node::new(settings, recovered);
+    node.step(Event::Tick, Time(START));
+    node.step(Event::Tick, Time(START + 4_000));
+    receive(&mut node, 2, granted(true, 1), 4_000);
+    receive(&mut node, 2, granted(false, 1), 4_000);
+    assert_eq!(node.role(), Role::Leader);
+    let reply = |index, sent| Message::AppendReply {
+        term: 1,
+        ok: true,
+        index,
+        hint: 0,
+        sent: START + sent,
+    };
+    for id in [2, 3, 4] {
+        receive(&mut node, id, reply(1, 4_000), 4_010);
+    }
+    node.step(Event::Synced { index: 2 }, Time(START + 4_010));
+    let mut sent = std::collections::BTreeMap::new();
+    let mut batches: [Vec<usize>; 2] = Default::default();
+    let mut note = |actions: Vec<Action>| {
+        for action in actions {
+            let Action::Send { to, message } = action else {
+                continue;
+            };
+            if let Message::Append(append) = message
+                && let Some(last) = append.entries.last()
+            {
+                sent.insert(to.0, last.index);
+                match to {
+                    VmId(2) => batches[0].push(append.entries.len()),
+                    VmId(4) => batches[1].push(append.entries.len()),
+                    _ => {}
+                }
+            }
+        }
+        sent.clone()
+    };
+    for ms in (4_020..4_200).step_by(10) {
+        let data = Data::from("a");
+        note(node.step(Event::Propose { ctx: ms, data }, Time(START + ms)));
+        let index = node.dump()["last"].as_u64().unwrap_or(0);
+        let mut known = note(node.step(Event::Synced { index }, Time(START + ms)));
+        for id in [2, 3, 4] {
+            let last = known.get(&id).copied().unwrap_or(1);
+            known = note(receive(&mut node, id, reply(last, ms), ms));
+        }
+    }
+    let [voter, learner] = batches;
+    assert!(voter.len() >= 15, "{voter:?}");
+    assert!((2..=5).contains(&learner.len()), "{learner:?}");
+    assert!(learner.iter().sum::<usize>() >= 14, "{learner:?}");
+}
