--- a/crates/zinnia-plan/src/lead.rs
+++ b/crates/zinnia-plan/src/lead.rs
@@ -40,7 +40,8 @@
     swept: Option<Time>,
 }
 
-/// Pause between two looks through all runs for those that lapse or have to stop.
+/// Pause between two looks through all workers and runs: for new workers, and for runs that lapse
+/// or have to stop.
 const SWEEP_MS: u64 = 50;
 /// Longest time after which an order without an answer may still be carried out.
 const LATE_MS: u64 = 12_000;
@@ -328,18 +329,17 @@
             ask_ms,
             ..Plan::default()
         };
-        self.meet(state, now);
         if self.swept.is_none_or(|at| now.since(at) >= SWEEP_MS) {
             self.swept = Some(now);
+            self.meet(state, now);
             self.lapse(state, now, &mut plan);
             self.stop(state, now, &mut plan);
+            self.advice.retain(|step, _| state.live.contains(&step.job));
         }
         self.hold(state, now, &mut plan);
         if starts {
             self.place(state, now, wall_ms, &mut plan);
         }
-        let live = |step: &StepId| state.live.contains(&step.job);
-        self.advice.retain(|step, _| live(step));
         plan
     }
 
@@ -419,13 +419,13 @@
         let lease = self.settings.lease_ms;
         let wait = self.settings.wait_ms;
         for (name, contact) in &mut self.contacts {
+            if contact.holding.is_some() || now < contact.due {
+                continue;
+            }
             let Some(worker) = contact.life(state, name) else {
                 continue;
             };
             let unsure = contact.confirmed < contact.fence;
-            if contact.holding.is_some() || now < contact.due {
-                continue;
-            }
             if worker.runs.is_empty() && !unsure {
                 continue;
             }
--- a/crates/zinnia-plan/src/place.rs
+++ b/crates/zinnia-plan/src/place.rs
@@ -97,8 +97,11 @@
     /// Free room of the workers that may get tasks.
     fn free<'a>(&self, state: &'a State, now: Time) -> BTreeMap<&'a str, Free<'a>> {
         let mut free = BTreeMap::new();
+        // Both are sorted by name, so one pass over each finds the pairs.
+        let mut contacts = self.contacts.iter().peekable();
         for (name, worker) in &state.workers {
-            let Some(contact) = self.contacts.get(name) else {
+            while contacts.next_if(|(other, _)| *other < name).is_some() {}
+            let Some((_, contact)) = contacts.next_if(|(other, _)| *other == name) else {
                 continue;
             };
             let usable = !worker.left
@@ -172,11 +175,14 @@
 /// Steps whose turn has come and that have tasks without a worker.
 fn waiting(state: &State, wall_ms: i64) -> Vec<Due<'_>> {
     let mut list = Vec::new();
+    // A document may have many hundreds of queues, of which few have jobs.
+    let mut queues: BTreeMap<&str, Option<&Queue>> = BTreeMap::new();
     for id in &state.live {
         let Some(job) = state.jobs.get(id).filter(|j| j.status == Status::Open) else {
             continue;
         };
-        let Some(queue) = state.document.queue(&job.queue) else {
+        let find = || state.document.queue(&job.queue);
+        let Some(queue) = *queues.entry(&job.queue).or_insert_with(find) else {
             continue;
         };
         for (r, steps) in (0..).zip(&job.rounds) {
