--- a/crates/zinnia-plan/tests/lead.rs
+++ b/crates/zinnia-plan/tests/lead.rs
@@ -490,3 +490,71 @@
         assert_eq!(world.place().is_empty(), case.listed, "{}", case.name);
     }
 }
+
+/// Guards against a gang that never starts, because its tickets run out while it waits for room and
+/// the room that is kept for it keeps it from asking for new ones.
+#[test]
+fn a_gang_renews_its_tickets() {
+    let policy = Policy {
+        base_ms: 100.0,
+        each_ms: 1.0,
+        valid_ms: 1_500,
+    };
+    let mut doc = document(Some(policy));
+    doc.queues.push(zinnia_plan::Queue {
+        name: "plain".to_owned(),
+        prefix: "/p/".to_owned(),
+        policy: None,
+        priority: 1,
+        ..doc.queues[0].clone()
+    });
+    let mut world = World::new(doc);
+    for name in ["a", "b"] {
+        world.meet(&life(name, 1_000));
+    }
+    let plain = |world: &mut World, id| {
+        world.apply(zinnia_plan::Record::Submit {
+            id: zinnia_types::JobId(id),
+            queue: "plain".to_owned(),
+            team: "kibo".to_owned(),
+            spec: job(vec![step(1, 1_000)]),
+        })
+    };
+    plain(&mut world, 2);
+    let busy = world.place().pop().expect("the first job is placed");
+    world.submit(job(vec![zinnia_plan::Step {
+        gang: true,
+        ..step(2, 1_000)
+    }]));
+    let granted = || {
+        let row = |w: &str| (w.to_owned(), "ticket".to_owned());
+        Some(["a", "b"].map(row).to_vec())
+    };
+    let question = world.plan().questions.pop().expect("the policy is asked");
+    world.lead.advised(&question, granted(), Time(world.now));
+    assert!(world.place().is_empty(), "one worker is busy");
+    world.now += 2_000;
+    let end = zinnia_plan::End {
+        number: 1,
+        task: busy.call.task,
+        run: busy.call.run,
+        how: zinnia_plan::How::Done,
+        saved: String::new(),
+    };
+    world.apply(zinnia_plan::Record::Ends {
+        worker: busy.call.worker,
+        born: busy.call.born,
+        upto: 1,
+        list: vec![end],
+    });
+    for name in ["a", "b"] {
+        world.beat(&life(name, 1_000), 2, false);
+    }
+    plain(&mut world, 3);
+    let mut plan = world.plan();
+    assert_eq!(plan.starts, [], "the room is kept for the gang");
+    let question = plan.questions.pop().expect("the policy is asked again");
+    assert_eq!(question.workers.len(), 2);
+    world.lead.advised(&question, granted(), Time(world.now));
+    assert_eq!(world.place().len(), 2, "the gang starts");
+}
