Choose workers of gangs in one place, and prepare no question that may not be asked

Read-through of the change; behaviour is meant to stay.

- Keeping room for a gang and choosing its workers ran the same loop twice; both use spread now, over the room that they look at.
The bound of tasks on one worker stood in three forms, the rack of a worker and the longest lease in two.
- Since place_step was split, workers for a question to the policy were ranked also when none may be asked, and twice for a gang without room.
Whether one may be asked is looked at first.
- A pass asked the log node twice whether this process leads.
- Tests of the leader share one policy and one way to submit; their assertions are unchanged.
- Two comments of zinnia-daemon named an acting owner wrongly.

--- a/crates/zinnia-control/src/engine.rs
+++ b/crates/zinnia-control/src/engine.rs
@@ -89,15 +89,22 @@
 
     /// Whether this process leads and may answer reads.
     pub(crate) fn leads(&self) -> bool {
+        self.leading_term().is_some()
+    }
+
+    /// Term of the own leadership while it may answer reads; without the lease another leader may
+    /// act already.
+    pub(crate) fn leading_term(&self) -> Option<u64> {
+        let term = self.term()?;
         let contact = |n: &Node| n.contact(clock::now());
-        self.term().is_some() && self.read(contact).unwrap_or(false)
+        self.read(contact)?.then_some(term)
     }
 
     /// Term of the own leadership, once all that was committed before it is applied.
     ///
     /// A leader is ready for the rest of its term: its later entries are acknowledged only after
     /// they are applied, so a read never misses one, though some may be on their way to the disk.
-    pub(crate) fn term(&self) -> Option<u64> {
+    fn term(&self) -> Option<u64> {
         let replica = self.replica.get()?;
         if let Some(ready) = replica.ready_term() {
             self.ready_term.store(ready, Ordering::Relaxed);
--- a/crates/zinnia-control/src/lead.rs
+++ b/crates/zinnia-control/src/lead.rs
@@ -86,11 +86,7 @@
 
 /// One pass of the leader; `None` on a process that does not lead.
 fn pass(engine: &Arc<Engine>, starting: &AtomicBool) -> Option<Plan> {
-    let term = engine.term()?;
-    // Without the lease another leader may act already.
-    if !engine.leads() {
-        return None;
-    }
+    let term = engine.leading_term()?;
     let now = clock::now();
     let mut core = engine.core();
     let core = &mut *core;
--- a/crates/zinnia-daemon/src/apply.rs
+++ b/crates/zinnia-daemon/src/apply.rs
@@ -114,7 +114,7 @@
         }
     }
 
-    /// Opens the acting of a domain after this process was made its acting owner in `term`.
+    /// Starts the scheduler of a domain after this process was made its acting owner in `term`.
     pub fn begin_acting(&mut self, domain: DomainId, term: u64, now: Time) {
         let owner = self.cell.owner(domain);
         let mine = owner.is_some_and(|o| o.vm == self.me.vm.id && o.term == term);
--- a/crates/zinnia-daemon/src/flush.rs
+++ b/crates/zinnia-daemon/src/flush.rs
@@ -350,7 +350,7 @@
         }
     }
 
-    /// How much more each acting needs of the teams' limits; told to the other acting owners.
+    /// How much more each domain needs of the teams' limits; told to the other acting owners.
     pub fn shortages(&self) -> Vec<(DomainId, TeamId, Resources)> {
         let mut list = Vec::new();
         for acting in self.acting.values() {
--- a/crates/zinnia-plan/src/advice.rs
+++ b/crates/zinnia-plan/src/advice.rs
@@ -52,23 +52,20 @@
         (now.after(TICKET_SLACK_MS) < ticket.until).then_some(ticket.text.as_str())
     }
 
-    /// Adds a question about these workers to the plan; whether one was added.
-    pub(crate) fn ask(
-        &mut self,
-        step: StepId,
-        names: &[&str],
-        policy: &Policy,
-        now: Time,
-        plan: &mut Plan,
-    ) -> bool {
-        if names.is_empty() || now < self.retry || plan.ask_ms == 0 {
-            return false;
+    /// Whether the policy may be asked about the step now.
+    pub(crate) fn may_ask(&self, now: Time, plan: &Plan) -> bool {
+        self.asked.is_empty() && now >= self.retry && plan.ask_ms > 0
+    }
+
+    /// Adds a question about these workers to the plan, if there are any.
+    pub(crate) fn ask(&mut self, step: StepId, names: &[&str], policy: &Policy, plan: &mut Plan) {
+        if names.is_empty() {
+            return;
         }
         let question = question(step, names, policy);
         plan.ask_ms = plan.ask_ms.saturating_sub(question.cost_ms);
         self.asked.clone_from(&question.workers);
         plan.questions.push(question);
-        true
     }
 
     /// Forgets the ticket of a worker that refused it.
--- a/crates/zinnia-plan/src/gang.rs
+++ b/crates/zinnia-plan/src/gang.rs
@@ -5,7 +5,9 @@
 use crate::Lead;
 use crate::Plan;
 use crate::Policy;
+use crate::Room;
 use crate::place::Due;
+use crate::place::Free;
 use crate::place::Pass;
 use crate::state::Worker;
 
@@ -47,15 +49,16 @@
                 choice
             }
             None => {
-                let mut granted = pass.capable(due);
+                let capable = pass.capable(due);
+                let mut granted = capable.clone();
                 granted.retain(|w| advice.granted.contains(*w));
                 pass.keep_room(due, &granted);
-                pass.unknown(due, advice)
+                pass.unknown(due, advice, capable)
             }
         };
         names.dedup();
-        if advice.asked.is_empty() {
-            advice.ask(due.id, &names, policy, now, plan);
+        if advice.may_ask(now, plan) {
+            advice.ask(due.id, &names, policy, plan);
         }
     }
 }
@@ -73,8 +76,8 @@
     }
 
     /// Keeps room that becomes free for a gang that waits: smaller tasks would take it bit by bit.
-    pub(crate) fn keep_room(&mut self, due: &Due<'a>, names: &[&'a str]) {
-        if !due.step.gang || self.wall_ms - due.job.accepted_ms < KEEP_ROOM_MS {
+    fn keep_room(&mut self, due: &Due<'a>, names: &[&'a str]) {
+        if self.wall_ms - due.job.accepted_ms < KEEP_ROOM_MS {
             return;
         }
         let served = self.keeps.entry(due.queue.pool.as_str()).or_default();
@@ -82,60 +85,39 @@
             return;
         }
         *served += 1;
-        let need = due.step.charge();
-        let mut left = due.tasks.tasks.len();
         // Workers sort by their room, those with the most last.
-        for name in names.iter().rev() {
-            let Some(free) = self.free.get_mut(name) else {
-                continue;
-            };
-            let mut whole = free.worker.life.room.minus(&free.kept);
-            let most = match due.step.per_worker {
-                0 => u32::MAX,
-                n => n,
-            };
-            let mut here = 0;
-            while left > 0 && here < most && whole.fits(&need) {
-                whole = whole.minus(&need);
-                here += 1;
-                free.kept = free.kept.plus(&need);
-                free.unasked = free.unasked.minus(&need);
-                left -= 1;
-            }
-            if left == 0 {
-                return;
-            }
-        }
+        let names = names.iter().rev().copied();
+        let chosen = self.spread(due, names, |f| f.worker.life.room.minus(&f.kept));
+        self.keep(due, &chosen);
     }
 
-    /// Places a gang as a whole; returns its size when there is no room for it.
-    pub(crate) fn gang(&mut self, due: &Due<'a>, able: &[&'a str], plan: &mut Plan) -> usize {
-        let count = due.tasks.tasks.len();
-        if !self.within_cap(due, count as u64) {
-            return 0;
+    /// Places a gang as a whole, or keeps room for it when there is not enough.
+    pub(crate) fn gang(&mut self, due: &Due<'a>, plan: &mut Plan) {
+        if !self.within_cap(due, due.tasks.tasks.len() as u64) {
+            return;
+        }
+        match self.choose(due, &self.able(due)) {
+            Some(choice) => self.start_gang(due, &choice, plan),
+            None => self.keep_room(due, &self.capable(due)),
         }
-        let Some(choice) = self.choose(due, able) else {
-            return count;
-        };
-        self.start_gang(due, &choice, plan);
-        0
     }
 
     /// A worker for each member of a gang, if there is room for all.
     fn choose(&self, due: &Due<'_>, able: &[&'a str]) -> Option<Vec<&'a str>> {
         let count = due.tasks.tasks.len();
+        let all = |names: Vec<&'a str>| (names.len() == count).then_some(names);
         if due.step.same_rack && count > 1 {
             let racks: BTreeSet<&str> = able.iter().filter_map(|w| self.rack(w)).collect();
             let choice = racks.into_iter().find_map(|rack| {
                 let inside = able.iter().copied().filter(|w| self.rack(w) == Some(rack));
-                self.spread(due, inside.collect(), count)
+                all(self.spread(due, inside, Free::open))
             });
             let waited = self.wall_ms - due.job.accepted_ms;
             if choice.is_some() || waited < RACK_WAIT_MS {
                 return choice;
             }
         }
-        self.spread(due, able.to_vec(), count)
+        all(self.spread(due, able.iter().copied(), Free::open))
     }
 
     fn start_gang(&mut self, due: &Due<'a>, choice: &[&'a str], plan: &mut Plan) {
@@ -150,25 +132,28 @@
 
     fn rack(&self, name: &str) -> Option<&'a str> {
         let worker: &'a Worker = self.free.get(name)?.worker;
-        worker.life.labels.last().map(String::as_str)
+        worker.life.rack()
     }
 
-    /// A worker for each of `count` tasks, if there is room for all.
-    fn spread(&self, due: &Due<'_>, able: Vec<&'a str>, count: usize) -> Option<Vec<&'a str>> {
+    /// A worker for each member of a gang, as far as the given room of each reaches.
+    fn spread(
+        &self,
+        due: &Due<'_>,
+        names: impl Iterator<Item = &'a str>,
+        room: impl Fn(&Free<'a>) -> Room,
+    ) -> Vec<&'a str> {
         let need = due.step.charge();
-        let mut names = Vec::new();
-        for name in able {
-            let mut room = self.free.get(name)?.open();
+        let count = due.tasks.tasks.len();
+        let mut chosen = Vec::new();
+        for name in names {
+            let mut room = self.free.get(name).map(&room).unwrap_or_default();
             let mut here = 0;
-            while names.len() < count
-                && room.fits(&need)
-                && (due.step.per_worker == 0 || here < due.step.per_worker)
-            {
+            while chosen.len() < count && room.fits(&need) && here < due.step.most_beside() {
                 room = room.minus(&need);
                 here += 1;
-                names.push(name);
+                chosen.push(name);
             }
         }
-        (names.len() == count).then_some(names)
+        chosen
     }
 }
--- a/crates/zinnia-plan/src/lead.rs
+++ b/crates/zinnia-plan/src/lead.rs
@@ -65,13 +65,18 @@
     fn old_until(&self) -> Time {
         /// Time in which a leader that was replaced may still have sent orders.
         const OVERLAP_MS: u64 = 1_000;
+        self.began.after(self.longest_lease_ms() + OVERLAP_MS)
+    }
+
+    /// Longest lease on a worker's clock, which may be slow, in this process's time.
+    fn longest_lease_ms(&self) -> u64 {
         let lease = self.settings.hold_max_ms;
-        self.began.after(lease + lease / 40 + OVERLAP_MS)
+        lease + lease / 40
     }
 
     fn contact(&mut self, worker: &str, born: i64, now: Time) -> &mut Contact {
         let (base, until) = (self.base, self.old_until());
-        let lease = self.settings.hold_max_ms;
+        let lease = self.longest_lease_ms();
         let found = self
             .contacts
             .entry(worker.to_owned())
@@ -79,7 +84,7 @@
         if found.born < born {
             // Orders to the earlier life under this name may reach the new one, whose clock began
             // anew: the token shuts them out, and a lease may last from their latest arrival.
-            let until = until.max(now.after(LATE_MS + lease + lease / 40));
+            let until = until.max(now.after(LATE_MS + lease));
             *found = Contact::new(born, found.fence + 1, now, until);
         }
         found
--- a/crates/zinnia-plan/src/place.rs
+++ b/crates/zinnia-plan/src/place.rs
@@ -56,10 +56,6 @@
     pub(crate) fn open(&self) -> Room {
         self.room.minus(&self.kept)
     }
-
-    fn rack(&self) -> &str {
-        self.worker.life.labels.last().map_or("", String::as_str)
-    }
 }
 
 /// What a pass works on.
@@ -133,15 +129,13 @@
             return;
         }
         match due.queue.policy {
+            Some(policy) if due.step.gang => self.place_gang(pass, due, &policy, plan),
+            Some(policy) => self.place_tasks(pass, due, &policy, plan),
+            None if due.step.gang => pass.gang(due, plan),
             None => {
                 let able = pass.able(due);
-                if pass.put_all(due, &able, plan) > 0 {
-                    let capable = pass.capable(due);
-                    pass.keep_room(due, &capable);
-                }
+                pass.tasks(due, &able, plan);
             }
-            Some(policy) if due.step.gang => self.place_gang(pass, due, &policy, plan),
-            Some(policy) => self.place_tasks(pass, due, &policy, plan),
         }
     }
 
@@ -157,7 +151,7 @@
         let mut able = pass.able(due);
         let advice = self.advice.entry(due.id).or_default();
         able.retain(|w| advice.ticket(w, now).is_some());
-        let left = pass.put_all(due, &able, plan);
+        let left = pass.tasks(due, &able, plan);
         if left == 0 {
             return;
         }
@@ -165,10 +159,12 @@
             pass.reserve(due, &advice.asked, left);
             return;
         }
-        let names = pass.names(due, advice);
-        if advice.ask(due.id, &names, policy, now, plan) {
-            pass.reserve(due, &advice.asked, left);
+        if !advice.may_ask(now, plan) {
+            return;
         }
+        let names = pass.names(due, advice);
+        advice.ask(due.id, &names, policy, plan);
+        pass.reserve(due, &advice.asked, left);
     }
 }
 
@@ -242,7 +238,8 @@
         let rows = self.free.iter().map(|(name, f)| (*name, f));
         let mut rows: Vec<(&'a str, &Free<'a>)> = rows.filter(|(_, f)| pick(f) && fit(f)).collect();
         rows.sort_by_key(|(_, f)| {
-            let far = !step.data_rack.is_empty() && f.rack() != step.data_rack;
+            let far =
+                !step.data_rack.is_empty() && f.worker.life.rack() != Some(step.data_rack.as_str());
             let beside = step.target_ms > 0 && f.fills;
             (far, beside, f.room.gpu, f.room.cpu)
         });
@@ -274,13 +271,10 @@
         self.free.get(name).is_some_and(|f| f.open().fits(&need))
     }
 
-    /// Places what fits; returns how many tasks are left.
-    fn put_all(&mut self, due: &Due<'a>, able: &[&'a str], plan: &mut Plan) -> usize {
-        if due.step.gang {
-            self.gang(due, able, plan)
-        } else {
-            self.tasks(due, able, plan)
-        }
+    /// Whether a worker has room for a task of the step that no open question is about.
+    fn is_idle(&self, due: &Due<'_>, name: &str) -> bool {
+        let need = due.step.charge();
+        self.free.get(name).is_some_and(|f| f.unasked.fits(&need))
     }
 
     /// Workers that a question to the policy should name.
@@ -289,28 +283,29 @@
     /// longer than one about a single one. So the first question names all that could run it, and
     /// later ones renew the tickets of those with room.
     fn names(&self, due: &Due<'_>, advice: &Advice) -> Vec<&'a str> {
-        let need = due.step.charge();
-        let idle = |w: &&str| self.free.get(*w).is_some_and(|f| f.unasked.fits(&need));
         let capable = self.capable(due);
         let renew = |w: &&&str| {
-            advice.granted.contains(**w) && advice.ticket(w, self.now).is_none() && idle(w)
+            let due_again = advice.granted.contains(**w) && advice.ticket(w, self.now).is_none();
+            due_again && self.is_idle(due, w)
         };
         let mut names: Vec<&str> = capable.iter().filter(renew).copied().collect();
         if names.is_empty() {
-            return self.unknown(due, advice);
+            return self.unknown(due, advice, capable);
         }
         names.truncate(MOST_NAMED);
         names
     }
 
-    /// Workers of which the policy has not said whether they may run the step, those with room
-    /// first.
-    pub(crate) fn unknown(&self, due: &Due<'_>, advice: &Advice) -> Vec<&'a str> {
-        let need = due.step.charge();
-        let idle = |w: &&str| self.free.get(*w).is_some_and(|f| f.unasked.fits(&need));
-        let mut names = self.capable(due);
+    /// Those of the capable workers of which the policy has not said whether they may run the step,
+    /// the ones with room first.
+    pub(crate) fn unknown(
+        &self,
+        due: &Due<'_>,
+        advice: &Advice,
+        mut names: Vec<&'a str>,
+    ) -> Vec<&'a str> {
         names.retain(|w| !advice.granted.contains(*w) && !advice.denied.contains(*w));
-        names.sort_by_key(|w| !idle(w));
+        names.sort_by_key(|w| !self.is_idle(due, w));
         names.truncate(MOST_NAMED);
         names
     }
@@ -397,8 +392,9 @@
             }
             let fits = |name: &&&'a str| {
                 let room = self.has_room(due, name);
-                let most = due.step.per_worker;
-                let few = most == 0 || beside.get(**name).is_none_or(|n| *n < most);
+                let few = beside
+                    .get(**name)
+                    .is_none_or(|n| *n < due.step.most_beside());
                 room && few
             };
             // A task that failed here before goes elsewhere if it can.
--- a/crates/zinnia-plan/src/record.rs
+++ b/crates/zinnia-plan/src/record.rs
@@ -94,6 +94,13 @@
     pub labels: Vec<String>,
 }
 
+impl Life {
+    /// Rack, which is the last label.
+    pub fn rack(&self) -> Option<&str> {
+        self.labels.last().map(String::as_str)
+    }
+}
+
 /// A run of a task on a worker.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Start {
--- a/crates/zinnia-plan/src/spec.rs
+++ b/crates/zinnia-plan/src/spec.rs
@@ -99,6 +99,14 @@
 }
 
 impl Step {
+    /// Most tasks of the step on one worker.
+    pub(crate) fn most_beside(&self) -> u32 {
+        match self.per_worker {
+            0 => u32::MAX,
+            n => n,
+        }
+    }
+
     /// What a task takes from its worker's room; a task that fills takes no processor time.
     pub fn charge(&self) -> Room {
         let cpu = if self.fills { 0 } else { self.room.cpu };
--- a/crates/zinnia-plan/tests/common/mod.rs
+++ b/crates/zinnia-plan/tests/common/mod.rs
@@ -149,9 +149,13 @@
     }
 
     pub(crate) fn submit(&mut self, spec: JobSpec) {
+        self.submit_to("quick", 1, spec);
+    }
+
+    pub(crate) fn submit_to(&mut self, queue: &str, id: u64, spec: JobSpec) {
         self.apply(Record::Submit {
-            id: JobId(1),
-            queue: "quick".to_owned(),
+            id: JobId(id),
+            queue: queue.to_owned(),
             team: "kibo".to_owned(),
             spec,
         });
--- a/crates/zinnia-plan/tests/lead.rs
+++ b/crates/zinnia-plan/tests/lead.rs
@@ -21,6 +21,12 @@
     (order.call.task, order.call.run)
 }
 
+const POLICY: Policy = Policy {
+    base_ms: 100.0,
+    each_ms: 1.0,
+    valid_ms: 1_500,
+};
+
 /// A world with one worker and one task at work on it.
 fn at_work() -> (World, zinnia_plan::StartCall) {
     let mut world = World::new(document(None));
@@ -152,12 +158,7 @@
 /// Guards against tickets that count from the question and have run out when a slow answer comes.
 #[test]
 fn a_ticket_counts_from_the_answer() {
-    let policy = Policy {
-        base_ms: 100.0,
-        each_ms: 1.0,
-        valid_ms: 1_500,
-    };
-    let mut world = World::new(document(Some(policy)));
+    let mut world = World::new(document(Some(POLICY)));
     world.meet(&life("w", 4_000));
     world.submit(job(vec![step(1, 1_000)]));
     let mut plan = world.plan();
@@ -177,12 +178,7 @@
 /// Guards against questions that overtake more urgent ones in the queue of the policy.
 #[test]
 fn questions_wait_for_their_turn() {
-    let policy = Policy {
-        base_ms: 100.0,
-        each_ms: 1.0,
-        valid_ms: 1_500,
-    };
-    let mut world = World::new(document(Some(policy)));
+    let mut world = World::new(document(Some(POLICY)));
     world.meet(&life("w", 4_000));
     world.submit(job(vec![step(1, 1_000)]));
     let wall = i64::try_from(world.now).unwrap();
@@ -259,12 +255,7 @@
 /// for where there is no room.
 #[test]
 fn a_question_names_all_workers() {
-    let policy = Policy {
-        base_ms: 100.0,
-        each_ms: 1.0,
-        valid_ms: 1_500,
-    };
-    let mut world = World::new(document(Some(policy)));
+    let mut world = World::new(document(Some(POLICY)));
     for name in ["a", "b", "c"] {
         world.meet(&life(name, 1_000));
     }
@@ -285,12 +276,7 @@
 fn room_is_kept_for_a_gang() {
     let mut world = World::new(document(None));
     world.meet(&life("w", 4_000));
-    world.apply(zinnia_plan::Record::Submit {
-        id: zinnia_types::JobId(2),
-        queue: "quick".to_owned(),
-        team: "kibo".to_owned(),
-        spec: job(vec![step(1, 1_000)]),
-    });
+    world.submit_to("quick", 2, job(vec![step(1, 1_000)]));
     assert_eq!(world.place().len(), 1);
     world.submit(job(vec![zinnia_plan::Step {
         gang: true,
@@ -298,12 +284,7 @@
     }]));
     world.now += 600;
     world.beat(&life("w", 4_000), 2, false);
-    world.apply(zinnia_plan::Record::Submit {
-        id: zinnia_types::JobId(3),
-        queue: "quick".to_owned(),
-        team: "kibo".to_owned(),
-        spec: job(vec![step(1, 1_000)]),
-    });
+    world.submit_to("quick", 3, job(vec![step(1, 1_000)]));
     assert!(world.place().is_empty(), "the room is kept for the gang");
 }
 
@@ -314,27 +295,19 @@
     for name in ["w", "v"] {
         world.meet(&life(name, 8_000));
     }
-    let submit = |world: &mut World, id, spec| {
-        world.apply(zinnia_plan::Record::Submit {
-            id: zinnia_types::JobId(id),
-            queue: "quick".to_owned(),
-            team: "kibo".to_owned(),
-            spec,
-        })
-    };
-    submit(&mut world, 2, job(vec![step(1, 6_000)]));
+    world.submit_to("quick", 2, job(vec![step(1, 6_000)]));
     assert_eq!(world.place().len(), 1);
     let gang = zinnia_plan::Step {
         gang: true,
         per_worker: 1,
         ..step(2, 3_000)
     };
-    submit(&mut world, 3, job(vec![gang]));
+    world.submit_to("quick", 3, job(vec![gang]));
     world.now += 600;
     for name in ["w", "v"] {
         world.beat(&life(name, 8_000), 2, false);
     }
-    submit(&mut world, 4, job(vec![step(9, 1_000)]));
+    world.submit_to("quick", 4, job(vec![step(9, 1_000)]));
     let orders = world.place();
     let started: Vec<u32> = orders.iter().map(|o| o.call.task.index).collect();
     assert_eq!(started, [0, 1, 2, 3, 4], "all but the room of the gang");
@@ -372,12 +345,7 @@
         });
         let mut world = World::new(doc);
         world.meet(&life("w", 10_000));
-        world.apply(zinnia_plan::Record::Submit {
-            id: zinnia_types::JobId(2),
-            queue: "other".to_owned(),
-            team: "kibo".to_owned(),
-            spec: job(vec![step(1, 9_000)]),
-        });
+        world.submit_to("other", 2, job(vec![step(1, 9_000)]));
         assert_eq!(world.place().len(), 1, "{}", case.name);
         world.submit(job(vec![step(1, 1_000)]));
         assert_eq!(world.place().len(), case.started, "{}", case.name);
@@ -495,12 +463,7 @@
 /// the room that is kept for it keeps it from asking for new ones.
 #[test]
 fn a_gang_renews_its_tickets() {
-    let policy = Policy {
-        base_ms: 100.0,
-        each_ms: 1.0,
-        valid_ms: 1_500,
-    };
-    let mut doc = document(Some(policy));
+    let mut doc = document(Some(POLICY));
     doc.queues.push(zinnia_plan::Queue {
         name: "plain".to_owned(),
         prefix: "/p/".to_owned(),
@@ -512,15 +475,7 @@
     for name in ["a", "b"] {
         world.meet(&life(name, 1_000));
     }
-    let plain = |world: &mut World, id| {
-        world.apply(zinnia_plan::Record::Submit {
-            id: zinnia_types::JobId(id),
-            queue: "plain".to_owned(),
-            team: "kibo".to_owned(),
-            spec: job(vec![step(1, 1_000)]),
-        })
-    };
-    plain(&mut world, 2);
+    world.submit_to("plain", 2, job(vec![step(1, 1_000)]));
     let busy = world.place().pop().expect("the first job is placed");
     world.submit(job(vec![zinnia_plan::Step {
         gang: true,
@@ -550,7 +505,7 @@
     for name in ["a", "b"] {
         world.beat(&life(name, 1_000), 2, false);
     }
-    plain(&mut world, 3);
+    world.submit_to("plain", 3, job(vec![step(1, 1_000)]));
     let mut plan = world.plan();
     assert_eq!(plan.starts, [], "the room is kept for the gang");
     let question = plan.questions.pop().expect("the policy is asked again");
