--- a/crates/zinnia-control/src/apply.rs
+++ b/crates/zinnia-control/src/apply.rs
@@ -119,6 +119,7 @@
             follow(&engine, &mut core, record, reply, now);
         }
         engine.kick.notify_one();
+        engine.progress.notify_waiters();
     }
     Some(replies)
 }
--- a/crates/zinnia-control/src/engine.rs
+++ b/crates/zinnia-control/src/engine.rs
@@ -72,6 +72,8 @@
     pub(crate) ready_term: AtomicU64,
     /// Wakes the leader's planning.
     pub(crate) kick: Notify,
+    /// Wakes reads that wait for the end of a job.
+    pub(crate) progress: Notify,
     /// Start orders that were committed.
     pub(crate) orders: mpsc::UnboundedSender<StartCall>,
     /// Peer addresses of processes that are not, or not yet, members.
--- a/crates/zinnia-control/src/member.rs
+++ b/crates/zinnia-control/src/member.rs
@@ -85,6 +85,7 @@
             ready_term: AtomicU64::new(0),
             runtime: tokio::runtime::Handle::current(),
             kick: Notify::new(),
+            progress: Notify::new(),
             orders,
             addrs: Mutex::default(),
         });
--- a/crates/zinnia-control/src/serve.rs
+++ b/crates/zinnia-control/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use zinnia_plan::Job;
 use zinnia_plan::Record;
 use zinnia_plan::Reply;
 use zinnia_replica::Verdict;
@@ -33,10 +34,15 @@
             return Answer::Elsewhere(self.leader().map(|(peer, _)| peer));
         }
         match request {
-            Request::Ask(ask) => match self.meaning(ask) {
-                Meaning::Answer(answer) => self.if_leading(answer),
-                Meaning::Record(record) => self.commit(vec![record]).await,
-            },
+            Request::Ask(ask) => {
+                if ask.view == View::Get {
+                    self.until_ended(&ask).await;
+                }
+                match self.meaning(ask) {
+                    Meaning::Answer(answer) => self.if_leading(answer),
+                    Meaning::Record(record) => self.commit(vec![record]).await,
+                }
+            }
             Request::Publish { raw, document } => {
                 if let Some(fault) = document.fault() {
                     return Answer::Invalid(fault.to_string());
@@ -96,6 +102,27 @@
         }
     }
 
+    /// Lets a read of a job that may end soon wait for its end: callers ask when they expect it, and
+    /// would learn of an end just missed only with their next request.
+    async fn until_ended(&self, ask: &Ask) {
+        let Some(id) = ask.path.rsplit('/').next().and_then(job_id) else {
+            return;
+        };
+        let allowed = matches!(self.meaning(ask.clone()), Meaning::Answer(Answer::Job { .. }));
+        let limit = Duration::from_millis(self.settings.read_wait_ms);
+        let deadline = tokio::time::Instant::now() + limit;
+        while allowed {
+            let progress = self.progress.notified();
+            tokio::pin!(progress);
+            // A change between the look at the job and the wait must not be missed.
+            progress.as_mut().enable();
+            let closing = self.core().state.jobs.get(&id).is_some_and(Job::is_closing);
+            if !closing || tokio::time::timeout_at(deadline, progress).await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// A read counts only if this process still led after it.
     fn if_leading(&self, answer: Answer) -> Answer {
         if self.leads() {
--- a/crates/zinnia-control/src/settings.rs
+++ b/crates/zinnia-control/src/settings.rs
@@ -31,6 +31,8 @@
     pub compact_entries: u64,
     /// Silence after which a voter is replaced when another process can take its place.
     pub replace_ms: u64,
+    /// Longest time in milliseconds that a read of a job that may end soon waits for its end.
+    pub read_wait_ms: u64,
     /// Times of the leader's decisions.
     pub plan: zinnia_plan::Settings,
 }
@@ -49,6 +51,7 @@
             election_ms: (600, 1_100),
             compact_entries: 4_000,
             replace_ms: 4_000,
+            read_wait_ms: 150,
             plan: zinnia_plan::Settings::default(),
         }
     }
--- a/crates/zinnia-control/tests/cell.rs
+++ b/crates/zinnia-control/tests/cell.rs
@@ -211,6 +211,10 @@
 
 impl Cell {
     async fn start() -> Self {
+        Self::start_with(Settings::default()).await
+    }
+
+    async fn start_with(settings: Settings) -> Self {
         let addrs: Vec<SocketAddr> = (0..3).map(|_| free_addr()).collect();
         let seeds: Vec<String> = addrs.iter().map(ToString::to_string).collect();
         let worker = Shared::default();
@@ -219,7 +223,7 @@
             seeds,
             bootstrap: true,
             key: "key-of-a-test-cell".to_owned(),
-            ..Settings::default()
+            ..settings
         };
         let mut members = Vec::new();
         let mut dirs = Vec::new();
@@ -418,3 +422,29 @@
     assert!(matches!(answer, Answer::Busy(_)), "{answer:?}");
     assert!(began.elapsed() < Duration::from_secs(2), "given up in time");
 }
+
+/// Guards against a caller that is told that its job is at work just before the job's end is noted,
+/// and so learns of the end only with its next request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_read_waits_for_an_end_that_is_near() {
+    let settings = Settings {
+        read_wait_ms: 10_000,
+        ..Settings::default()
+    };
+    let cell = Cell::start_with(settings).await;
+    let beats = cell.beats();
+    let gateway = &cell.entry.gateway;
+    let mut spec = job();
+    spec.steps.truncate(1);
+    spec.steps[0].count = 1;
+    let began = Instant::now();
+    let submit = ask(1, View::Submit(Ok(spec)));
+    until(gateway, &submit, &Answer::Done).await;
+    while cell.worker.lock().expect("a lock").starts.is_empty() {
+        assert!(began.elapsed() < LIMIT, "the job is not started");
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let answer = gateway.ask(&ask(1, View::Get), LIMIT).await;
+    beats.abort();
+    assert_eq!(answer, COMPLETED);
+}
--- a/crates/zinnia-plan/src/job.rs
+++ b/crates/zinnia-plan/src/job.rs
@@ -141,6 +141,14 @@
             .all(|&a| states.get(a).is_some_and(StepState::is_done))
     }
 
+    /// Whether the job may end soon: all that is left of it is on workers, and none of it lasts.
+    pub fn is_closing(&self) -> bool {
+        let on_way = |s: &StepState| (s.done + s.placed) as usize >= s.tasks.len();
+        self.status == Status::Open
+            && !self.spec.steps.iter().any(|s| s.lasting)
+            && self.rounds.iter().flatten().all(on_way)
+    }
+
     /// Whether every task of every round is complete.
     pub fn is_complete(&self) -> bool {
         self.rounds.iter().flatten().all(StepState::is_done)
