Hand entries out once a quorum has synced them, without a sync of the commit index

It guards VMs that show their own state after a restart; on the platform the leader alone answers, after it has applied all that was committed. Conclusion: kept, as a setting of the log.

--- a/crates/zinnia-raft/src/node.rs
+++ b/crates/zinnia-raft/src/node.rs
@@ -272,7 +272,12 @@
             return;
         }
         let entries = self.log.take_unemitted();
-        let changed = hard != self.saved;
+        let voted = (hard.term, hard.vote) != (self.saved.term, self.saved.vote);
+        let changed = if self.settings.durable_commit || !entries.is_empty() {
+            hard != self.saved
+        } else {
+            voted
+        };
         if !changed && truncate.is_none() && entries.is_empty() {
             return;
         }
@@ -285,12 +290,14 @@
         });
     }
 
-    /// Hands out what is committed, once the commit index is on disk: a VM that restarts without
-    /// reaching a leader would otherwise fall back behind what it has shown.
+    /// Hands out what is committed; see [`Settings::durable_commit`].
     fn apply(&mut self, actions: &mut Vec<Action>) {
-        let entries = self
-            .log
-            .slice(self.applied + 1, self.saved.commit, usize::MAX);
+        let to = if self.settings.durable_commit {
+            self.saved.commit
+        } else {
+            self.commit
+        };
+        let entries = self.log.slice(self.applied + 1, to, usize::MAX);
         let Some(last) = entries.last() else {
             return;
         };
--- a/crates/zinnia-raft/src/settings.rs
+++ b/crates/zinnia-raft/src/settings.rs
@@ -22,6 +22,10 @@
     pub commit_ms: u64,
     /// Least time between messages with entries to a member without a vote, which nothing waits for.
     pub learner_ms: u64,
+    /// Whether entries are handed out only once the commit index that covers them is on disk, so that
+    /// a VM that restarts without reaching a leader does not fall back behind what it has shown. It
+    /// costs a sync for each commit; a cell whose leader alone shows anything does without.
+    pub durable_commit: bool,
     /// Most bytes of entry data in one message, and so in one command.
     pub message_bytes: usize,
     /// Most bytes of snapshot data in one message.
@@ -47,6 +51,7 @@
             lease_ms: 1_800,
             commit_ms: 25,
             learner_ms: 0,
+            durable_commit: true,
             message_bytes: 512 * 1_024,
             chunk_bytes: 128 * 1_024,
             window: 16,
