Share a sync among proposals taken in together, and send entries before the leader's own sync

Cause: the first proposal of a pass was written alone and the others waited for a second sync; the followers got an entry only after the leader's own sync, so that the two disks worked one after the other. Ruled out: that a vote or an answer leaves early; only entries do, and only while term and vote are on disk. zinnia-replica/tests/order.rs holds the disk: without the change no entry leaves (failed first), with it entries leave and votes do not. The log thread has a file of its own now.

--- a/crates/zinnia-control/src/serve.rs
+++ b/crates/zinnia-control/src/serve.rs
@@ -108,7 +108,10 @@
         let Some(id) = ask.path.rsplit('/').next().and_then(job_id) else {
             return;
         };
-        let allowed = matches!(self.meaning(ask.clone()), Meaning::Answer(Answer::Job { .. }));
+        let allowed = matches!(
+            self.meaning(ask.clone()),
+            Meaning::Answer(Answer::Job { .. })
+        );
         let limit = Duration::from_millis(self.settings.read_wait_ms);
         let deadline = tokio::time::Instant::now() + limit;
         while allowed {
--- a/crates/zinnia-raft/src/event.rs
+++ b/crates/zinnia-raft/src/event.rs
@@ -6,6 +6,15 @@
 use crate::Data;
 use crate::Message;
 
+/// A command for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Proposal {
+    /// Number by which the caller recognises the outcome; unique while it is open.
+    pub ctx: u64,
+    /// Command.
+    pub data: Data,
+}
+
 /// Input of [`crate::Node::step`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
@@ -18,13 +27,8 @@
         /// Content.
         message: Message,
     },
-    /// A command for the log.
-    Propose {
-        /// Number by which the caller recognises the outcome; unique while it is open.
-        ctx: u64,
-        /// Command.
-        data: Data,
-    },
+    /// Commands for the log, which share one write.
+    Propose(Vec<Proposal>),
     /// Every action returned so far has been performed, a [`crate::Action::Persist`] among them.
     Synced {
         /// Last entry that any of them persisted; 0 when none had entries.
--- a/crates/zinnia-raft/src/lib.rs
+++ b/crates/zinnia-raft/src/lib.rs
@@ -16,6 +16,7 @@
 //! use zinnia_raft::Member;
 //! use zinnia_raft::Members;
 //! use zinnia_raft::Node;
+//! use zinnia_raft::Proposal;
 //! use zinnia_raft::Recovered;
 //! use zinnia_raft::Settings;
 //! use zinnia_raft::Snapshot;
@@ -64,7 +65,7 @@
 //! drive(&mut node, Event::Tick, Time(0));
 //! drive(&mut node, Event::Tick, Time(4_000));
 //! let data = Data::from("{}");
-//! drive(&mut node, Event::Propose { ctx: 7, data }, Time(4_001));
+//! drive(&mut node, Event::Propose(vec![Proposal { ctx: 7, data }]), Time(4_001));
 //! assert_eq!(accepted, [7]);
 //! ```
 
@@ -97,6 +98,7 @@
 pub use entry::Payload;
 pub use entry::Recovered;
 pub use event::Event;
+pub use event::Proposal;
 pub use member::Change;
 pub use member::Member;
 pub use member::Members;
--- a/crates/zinnia-raft/src/node.rs
+++ b/crates/zinnia-raft/src/node.rs
@@ -18,6 +18,7 @@
 use crate::Message;
 use crate::Payload;
 use crate::Peer;
+use crate::Proposal;
 use crate::Recovered;
 use crate::Refusal;
 use crate::Role;
@@ -128,7 +129,11 @@
         match event {
             Event::Tick => self.on_tick(),
             Event::Receive { from, message } => self.on_message(from, message),
-            Event::Propose { ctx, data } => self.on_propose(ctx, Payload::Data(data)),
+            Event::Propose(list) => {
+                for Proposal { ctx, data } in list {
+                    self.on_propose(ctx, Payload::Data(data));
+                }
+            }
             Event::Synced { index } => self.on_synced(index),
             Event::Change { ctx, change } => self.on_change(ctx, change),
             Event::Compact { index, data } => self.on_compact(index, data),
--- a/crates/zinnia-raft/src/sim/world.rs
+++ b/crates/zinnia-raft/src/sim/world.rs
@@ -17,11 +17,13 @@
 use crate::Data;
 use crate::Entry;
 use crate::Event;
+use crate::HardState;
 use crate::Member;
 use crate::Members;
 use crate::Message;
 use crate::Node;
 use crate::Payload;
+use crate::Proposal;
 use crate::Refusal;
 use crate::Role;
 use crate::Settings;
@@ -187,9 +189,10 @@
     }
 
     /// Kills a VM after `actions` of its pending actions. If it dies in a Persist, the first `keep`
-    /// of its writes reach the disk.
+    /// of its writes reach the disk, and the entries that a shell may send ahead of the sync are sent.
     pub fn crash(&mut self, id: VmId, actions: usize, keep: usize) {
         self.perform(id, actions);
+        let mut early = Vec::new();
         if let Some(vm) = self.vms.get_mut(&id) {
             if let Some(Action::Persist {
                 hard,
@@ -197,11 +200,23 @@
                 entries,
             }) = vm.todo.pop_front()
             {
+                let voted = |h: HardState| (h.term, h.vote);
+                if hard.is_none_or(|h| voted(h) == voted(vm.disk.hard)) {
+                    early.extend(vm.todo.iter().map_while(|action| match action {
+                        Action::Send { to, message } => Some((*to, message.clone())),
+                        _ => None,
+                    }));
+                }
                 vm.disk.write(hard, truncate, &entries);
             }
             vm.disk.keep(keep);
             vm.stop();
         }
+        for (to, message) in early {
+            if matches!(message, Message::Append(_)) {
+                self.send(id, to, &message);
+            }
+        }
     }
 
     /// Wipes a disk; the VM comes back under the new id returned.
@@ -283,7 +298,7 @@
     pub fn propose(&mut self, id: VmId) -> u64 {
         let ctx = self.count();
         let data = Data::from(ctx.to_string());
-        self.give(id, Event::Propose { ctx, data });
+        self.give(id, Event::Propose(vec![Proposal { ctx, data }]));
         ctx
     }
 
--- a/crates/zinnia-raft/tests/rules.rs
+++ b/crates/zinnia-raft/tests/rules.rs
@@ -13,6 +13,7 @@
 use zinnia_raft::Message;
 use zinnia_raft::Node;
 use zinnia_raft::Payload;
+use zinnia_raft::Proposal;
 use zinnia_raft::Recovered;
 use zinnia_raft::Refusal;
 use zinnia_raft::Role;
@@ -245,7 +246,10 @@
 fn outcome_within_a_snapshot_is_unknown() {
     let mut node = leader();
     let data = Data::from("b");
-    node.step(Event::Propose { ctx: 1, data }, Time(START + 4_010));
+    node.step(
+        Event::Propose(vec![Proposal { ctx: 1, data }]),
+        Time(START + 4_010),
+    );
     let chunk = whole(4, 4, 3, node.members());
     let mut actions = receive(&mut node, 2, Message::Chunk(chunk), 4_020);
     let entries = vec![entry(5, 4, Payload::Noop)];
@@ -262,7 +266,10 @@
     receive(&mut node, 2, acked(3, 4_000), 4_010);
     node.step(Event::Synced { index: 3 }, Time(START + 4_010));
     let data = Data::from("b");
-    node.step(Event::Propose { ctx: 1, data }, Time(START + 4_020));
+    node.step(
+        Event::Propose(vec![Proposal { ctx: 1, data }]),
+        Time(START + 4_020),
+    );
     receive(&mut node, 2, acked(4, 4_020), 4_030);
     assert_eq!(node.commit(), 3, "one follower and no disk of the leader");
     node.step(Event::Synced { index: 4 }, Time(START + 4_040));
@@ -467,7 +474,10 @@
     };
     for ms in (4_020..4_200).step_by(10) {
         let data = Data::from("a");
-        note(node.step(Event::Propose { ctx: ms, data }, Time(START + ms)));
+        note(node.step(
+            Event::Propose(vec![Proposal { ctx: ms, data }]),
+            Time(START + ms),
+        ));
         let index = node.dump()["last"].as_u64().unwrap_or(0);
         let mut known = note(node.step(Event::Synced { index }, Time(START + ms)));
         for id in [2, 3, 4] {
--- a/crates/zinnia-raft/tests/scenarios.rs
+++ b/crates/zinnia-raft/tests/scenarios.rs
@@ -6,6 +6,7 @@
 use zinnia_raft::Data;
 use zinnia_raft::Event;
 use zinnia_raft::Node;
+use zinnia_raft::Proposal;
 use zinnia_raft::Refusal;
 use zinnia_raft::Role;
 use zinnia_raft::Settings;
@@ -386,10 +387,10 @@
     let large = Data::from("x".repeat(301));
     w.give(
         lead,
-        Event::Propose {
+        Event::Propose(vec![Proposal {
             ctx: 1,
             data: large,
-        },
+        }]),
     );
     let open: Vec<u64> = (0..6).map(|_| w.propose(lead)).collect();
     w.run(300);
--- a/crates/zinnia-replica/src/lib.rs
+++ b/crates/zinnia-replica/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 mod replica;
+mod thread;
 
 pub use replica::Apply;
 pub use replica::Hooks;
--- /dev/null
+++ b/crates/zinnia-replica/src/thread.rs
@@ -0,0 +1,388 @@
+//! The thread that owns the store and steps the node.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use zinnia_raft::Action;
+use zinnia_raft::Data;
+use zinnia_raft::Entry;
+use zinnia_raft::Event;
+use zinnia_raft::HardState;
+use zinnia_raft::Members;
+use zinnia_raft::Message;
+use zinnia_raft::Node;
+use zinnia_raft::Proposal;
+use zinnia_raft::Recovered;
+use zinnia_raft::Role;
+use zinnia_raft::Settings;
+use zinnia_raft::Snapshot;
+use zinnia_store::Store;
+use zinnia_store::StoreError;
+use zinnia_types::Time;
+use zinnia_types::VmId;
+
+use crate::Hooks;
+use crate::Verdict;
+use crate::clock;
+use crate::replica::Input;
+use crate::replica::lock;
+
+/// Pause between two attempts to use a disk again that failed.
+const REOPEN_MS: u64 = 500;
+/// Time of one pass of the log thread from which it is logged.
+const SLOW_MS: u64 = 100;
+
+/// Most inputs taken in before their entries are synced together.
+const BATCH: usize = 256;
+
+pub(crate) struct Thread<R> {
+    pub(crate) settings: Settings,
+    pub(crate) node: Arc<Mutex<Node>>,
+    pub(crate) store: Option<Store>,
+    pub(crate) hooks: Hooks<R>,
+    pub(crate) compact: u64,
+    pub(crate) inputs: mpsc::Receiver<Input<R>>,
+    pub(crate) applied: watch::Sender<u64>,
+    pub(crate) fault: Arc<Mutex<Option<String>>>,
+    pub(crate) ctx: u64,
+    pub(crate) open: BTreeMap<u64, oneshot::Sender<Verdict<R>>>,
+    pub(crate) placed: BTreeMap<u64, oneshot::Sender<Verdict<R>>>,
+    /// Proposals taken in and not yet given to the node.
+    pub(crate) proposals: Vec<Proposal>,
+    /// Term and vote that are on disk for certain.
+    pub(crate) voted: Option<(u64, Option<VmId>)>,
+    /// When a failed disk was last tried.
+    pub(crate) tried: Time,
+}
+
+/// Whether an action may be performed before the writes of the same pass are synced.
+///
+/// The leader's entries may reach the others while its own disk still works on them, since it counts
+/// itself only after the sync; what is committed is on the disks of a quorum already.
+fn needs_no_sync(action: &Action) -> bool {
+    match action {
+        Action::Send { message, .. } => matches!(message, Message::Append(_)),
+        Action::Accepted { .. } | Action::Apply { .. } | Action::Rejected { .. } => true,
+        Action::Persist { .. } | Action::Save { .. } | Action::Install { .. } => false,
+        Action::Role { .. } => false,
+    }
+}
+
+impl<R> Thread<R> {
+    pub(crate) fn run(mut self) {
+        let tick = Duration::from_millis((self.settings.heartbeat_ms / 4).max(1));
+        loop {
+            let first = self.inputs.recv_timeout(tick);
+            let mut actions = Vec::new();
+            match first {
+                Ok(input) => {
+                    if self.take(input, &mut actions) {
+                        return;
+                    }
+                }
+                Err(mpsc::RecvTimeoutError::Timeout) => {}
+                Err(mpsc::RecvTimeoutError::Disconnected) => return,
+            }
+            for _ in 1..BATCH {
+                let Ok(input) = self.inputs.try_recv() else {
+                    break;
+                };
+                if self.take(input, &mut actions) {
+                    return;
+                }
+            }
+            self.propose(&mut actions);
+            self.reopen();
+            self.step(Event::Tick, &mut actions);
+            let began = clock::now();
+            self.settle(actions);
+            let ms = clock::now().since(began);
+            metrics::histogram!("zinnia_log_pass_ms").record(ms as f64);
+            if ms >= SLOW_MS {
+                tracing::warn!(event = "disk", ms, "the log waited long for its disk");
+            }
+        }
+    }
+
+    /// Takes one input in; true when the thread must end.
+    fn take(&mut self, input: Input<R>, actions: &mut Vec<Action>) -> bool {
+        match input {
+            Input::Event(event) => self.step(event, actions),
+            Input::Propose(data, tx) => {
+                let ctx = self.register(tx);
+                self.proposals.push(Proposal { ctx, data });
+            }
+            Input::Change(change, tx) => {
+                self.propose(actions);
+                let ctx = self.register(tx);
+                self.step(Event::Change { ctx, change }, actions);
+            }
+            Input::Form(members, tx) => {
+                let _ = tx.send(self.form(members));
+            }
+            Input::Stop(tx) => {
+                self.store = None;
+                let _ = tx.send(());
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Gives the node all proposals taken in at once, so that they share a sync.
+    fn propose(&mut self, actions: &mut Vec<Action>) {
+        if !self.proposals.is_empty() {
+            let list = std::mem::take(&mut self.proposals);
+            self.step(Event::Propose(list), actions);
+        }
+    }
+
+    fn register(&mut self, tx: oneshot::Sender<Verdict<R>>) -> u64 {
+        self.ctx += 1;
+        self.open.retain(|_, tx| !tx.is_closed());
+        self.open.insert(self.ctx, tx);
+        self.ctx
+    }
+
+    fn step(&mut self, event: Event, actions: &mut Vec<Action>) {
+        if lock(&self.fault).is_none() {
+            actions.extend(lock(&self.node).step(event, clock::now()));
+        }
+    }
+
+    /// Performs actions until none are left.
+    fn settle(&mut self, mut actions: Vec<Action>) {
+        while !actions.is_empty() {
+            match self.perform(actions) {
+                Ok(Some(index)) => {
+                    actions = Vec::new();
+                    self.step(Event::Synced { index }, &mut actions);
+                }
+                Ok(None) => actions = Vec::new(),
+                Err(e) => {
+                    self.fail(&e);
+                    return;
+                }
+            }
+            self.maybe_compact(&mut actions);
+        }
+    }
+
+    /// Performs actions in order; returns the last index written, 0 when only hard state was written.
+    ///
+    /// Without snapshots among them all writes come first and share one sync: a message may leave
+    /// later than its place in the order, but never before the write that it depends on.
+    fn perform(&mut self, mut actions: Vec<Action>) -> Result<Option<u64>, StoreError> {
+        let plain = !actions
+            .iter()
+            .any(|a| matches!(a, Action::Save { .. } | Action::Install { .. }));
+        let mut last = None;
+        if plain {
+            let steady = self.is_steady(&actions);
+            let mut synced = false;
+            for action in &actions {
+                synced |= self.write(action, false, &mut last)?;
+            }
+            if synced && steady {
+                let (early, late) = actions.into_iter().partition(needs_no_sync);
+                actions = late;
+                for action in early {
+                    self.act(action)?;
+                }
+            }
+            if synced && let Some(store) = self.store.as_mut() {
+                store.sync()?;
+            }
+        }
+        for action in actions {
+            if !plain {
+                self.write(&action, true, &mut last)?;
+            }
+            self.act(action)?;
+        }
+        Ok(last)
+    }
+
+    /// Whether the actions change neither role, term nor vote, and the commit index need not be on
+    /// disk before entries are handed out.
+    fn is_steady(&self, actions: &[Action]) -> bool {
+        actions.iter().all(|action| match action {
+            Action::Role { .. } => false,
+            Action::Persist {
+                hard: Some(hard), ..
+            } => !self.settings.durable_commit && self.voted == Some((hard.term, hard.vote)),
+            _ => true,
+        })
+    }
+
+    /// Writes what an action persists; returns whether a sync is owed.
+    fn write(
+        &mut self,
+        action: &Action,
+        sync: bool,
+        last: &mut Option<u64>,
+    ) -> Result<bool, StoreError> {
+        let Action::Persist {
+            hard,
+            truncate,
+            entries,
+        } = action
+        else {
+            return Ok(false);
+        };
+        let index = entries.last().map(|e| e.index);
+        *last = Some(index.or(*last).unwrap_or(0));
+        let Some(store) = self.store.as_mut() else {
+            return Ok(false);
+        };
+        if let Some(hard) = hard {
+            self.voted = Some((hard.term, hard.vote));
+        }
+        if sync {
+            store.persist(hard.as_ref(), *truncate, entries)?;
+            return Ok(false);
+        }
+        if let Some(from) = truncate {
+            store.truncate(*from)?;
+        }
+        store.append(entries)?;
+        if let Some(hard) = hard {
+            store.save_hard(hard)?;
+        }
+        Ok(true)
+    }
+
+    fn act(&mut self, action: Action) -> Result<(), StoreError> {
+        match action {
+            Action::Persist { .. } => {}
+            Action::Save { snapshot } => {
+                if let Some(store) = self.store.as_mut() {
+                    store.save_snapshot(&snapshot)?;
+                }
+            }
+            Action::Install { snapshot } => {
+                if let Some(store) = self.store.as_mut() {
+                    store.save_snapshot(&snapshot)?;
+                }
+                (self.hooks.install)(&snapshot);
+                self.applied.send_replace(snapshot.index);
+            }
+            Action::Send { to, message } => (self.hooks.send)(to, message),
+            Action::Accepted { ctx, index } => {
+                if let Some(tx) = self.open.remove(&ctx) {
+                    self.placed.insert(index, tx);
+                }
+            }
+            Action::Apply { entries } => self.apply(&entries),
+            Action::Rejected { ctx, leader, why } => {
+                if let Some(tx) = self.open.remove(&ctx) {
+                    let _ = tx.send(Verdict::Rejected { leader, why });
+                }
+            }
+            Action::Role { role, term, leader } => (self.hooks.role)(role, term, leader),
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, entries: &[Entry]) {
+        for entry in entries {
+            let reply = (self.hooks.apply)(entry);
+            if let Some(tx) = self.placed.remove(&entry.index) {
+                let index = entry.index;
+                let _ = tx.send(Verdict::Applied { index, reply });
+            }
+            self.applied.send_replace(entry.index);
+        }
+    }
+
+    fn maybe_compact(&mut self, actions: &mut Vec<Action>) {
+        let index = *self.applied.borrow();
+        let due = self.node_compacted() + self.compact <= index;
+        if due && let Some(text) = (self.hooks.snapshot)() {
+            let data = Data::from(text);
+            self.step(Event::Compact { index, data }, actions);
+        }
+    }
+
+    fn node_compacted(&self) -> u64 {
+        lock(&self.node).compacted()
+    }
+
+    /// Starts the node from the initial members; the caller got them from the other voters.
+    fn form(&mut self, members: Members) -> bool {
+        let blank = {
+            let node = lock(&self.node);
+            node.compacted() == 0 && node.members().is_empty()
+        };
+        if !blank {
+            return false;
+        }
+        let snapshot = Snapshot::initial(members);
+        if let Some(store) = self.store.as_mut()
+            && let Err(e) = store.save_snapshot(&snapshot)
+        {
+            self.fail(&e);
+            return false;
+        }
+        let recovered = Recovered {
+            hard: HardState::default(),
+            snapshot: Some(snapshot),
+            entries: Vec::new(),
+        };
+        self.voted = None;
+        *lock(&self.node) = Node::new(self.settings.clone(), recovered);
+        true
+    }
+
+    /// Takes the disk out of use: the node neither votes nor acknowledges any more.
+    ///
+    /// Open proposals get no verdict, so that their outcome counts as unknown.
+    fn fail(&mut self, error: &StoreError) {
+        tracing::error!(event = "disk", step = "persist", %error, "disk fails; the VM leaves the quorum");
+        metrics::counter!("zinnia_disk_failures_total").increment(1);
+        *lock(&self.fault) = Some(error.to_string());
+        self.voted = None;
+        self.open.clear();
+        self.placed.clear();
+        if self.hooks.reopen.is_some() {
+            // What the node knows beyond the disk must not count any more.
+            *lock(&self.node) = Node::new(self.settings.clone(), Recovered::default());
+            self.store = None;
+            self.tried = clock::now();
+            (self.hooks.role)(Role::Learner, 0, None);
+        }
+    }
+
+    /// Goes on from what the disk holds, once a failed disk works again.
+    fn reopen(&mut self) {
+        let now = clock::now();
+        let Some(reopen) = self.hooks.reopen.as_ref() else {
+            return;
+        };
+        if lock(&self.fault).is_none() || now.since(self.tried) < REOPEN_MS {
+            return;
+        }
+        self.tried = now;
+        match reopen() {
+            Ok((store, recovered)) => {
+                tracing::info!(
+                    event = "disk",
+                    entries = recovered.entries.len(),
+                    "disk works again"
+                );
+                (self.hooks.install)(&recovered.snapshot.clone().unwrap_or_default());
+                let first = recovered.snapshot.as_ref().map_or(0, |s| s.index);
+                self.applied.send_replace(first);
+                *lock(&self.node) = Node::new(self.settings.clone(), recovered);
+                self.store = Some(store);
+                *lock(&self.fault) = None;
+            }
+            Err(error) => tracing::warn!(event = "disk", %error, "disk is still out of use"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinnia-replica/tests/order.rs
@@ -0,0 +1,192 @@
+//! What may leave a VM before its own disk has synced, and what may not.
+
+#![expect(clippy::expect_used, reason = "a broken fixture must stop the test")]
+
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use zinnia_raft::Member;
+use zinnia_raft::Members;
+use zinnia_raft::Message;
+use zinnia_raft::Payload;
+use zinnia_raft::Settings;
+use zinnia_raft::Snapshot;
+use zinnia_replica::Hooks;
+use zinnia_replica::Replica;
+use zinnia_replica::Verdict;
+use zinnia_store::Identity;
+use zinnia_store::Op;
+use zinnia_store::Options;
+use zinnia_store::Store;
+use zinnia_types::VmId;
+
+/// Longest wait for a message.
+const LIMIT: Duration = Duration::from_secs(10);
+/// Time in which a message that must not leave would leave.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// A disk whose syncs wait while it is held.
+#[derive(Default)]
+struct Disk {
+    held: Mutex<bool>,
+    freed: Condvar,
+}
+
+impl Disk {
+    fn hold(&self, held: bool) {
+        *self.held.lock().expect("a lock") = held;
+        self.freed.notify_all();
+    }
+
+    fn pass(&self) {
+        let held = self.held.lock().expect("a lock");
+        drop(self.freed.wait_while(held, |held| *held).expect("a lock"));
+    }
+}
+
+struct Voter {
+    replica: Arc<Replica<()>>,
+    sent: mpsc::Receiver<(VmId, Message)>,
+    disk: Arc<Disk>,
+    _dir: tempfile::TempDir,
+}
+
+impl Voter {
+    /// Voter 1 of three; the others are played by the test.
+    fn start() -> Self {
+        let dir = tempfile::tempdir().expect("a folder");
+        let disk = Arc::new(Disk::default());
+        let gate = Arc::clone(&disk);
+        let options = Options {
+            gate: Some(Arc::new(move |op| {
+                if matches!(op, Op::Sync { .. }) {
+                    gate.pass();
+                }
+                Ok(u64::MAX)
+            })),
+            ..Options::default()
+        };
+        let wanted = Identity {
+            id: VmId(1),
+            cluster: "cell".to_owned(),
+        };
+        let (mut store, mut recovered) =
+            Store::open_with(dir.path(), &wanted, options).expect("a store");
+        let member = |id| Member {
+            id: VmId(id),
+            peer: format!("127.0.0.1:{id}"),
+            http: String::new(),
+            voter: true,
+        };
+        let members: Vec<Member> = (1..=3).map(member).collect();
+        let first = Snapshot::initial(Members::from(members));
+        store.save_snapshot(&first).expect("a snapshot");
+        recovered.snapshot = Some(first);
+        let (tx, sent) = mpsc::channel();
+        let hooks = Hooks {
+            send: Box::new(move |to, message| {
+                let _ = tx.send((to, message));
+            }),
+            apply: Box::new(|_| Some(())),
+            install: Box::new(|_| {}),
+            snapshot: Box::new(|| None),
+            reopen: None,
+            role: Box::new(|_, _, _| {}),
+        };
+        let settings = Settings {
+            id: VmId(1),
+            heartbeat_ms: 20,
+            election_min_ms: 200,
+            election_max_ms: 300,
+            durable_commit: false,
+            ..Settings::default()
+        };
+        let replica =
+            Replica::start(settings, Some(store), recovered, 1_000, hooks).expect("a thread");
+        Self {
+            replica: Arc::new(replica),
+            sent,
+            disk,
+            _dir: dir,
+        }
+    }
+
+    /// The next message to voter 2 that fits, or `None` after `limit`.
+    fn next(&self, limit: Duration, fits: impl Fn(&Message) -> bool) -> Option<Message> {
+        let end = std::time::Instant::now() + limit;
+        loop {
+            let left = end.saturating_duration_since(std::time::Instant::now());
+            let (to, message) = self.sent.recv_timeout(left).ok()?;
+            if to == VmId(2) && fits(&message) {
+                return Some(message);
+            }
+            self.answer(&message);
+        }
+    }
+
+    /// Voter 2 grants and takes in everything.
+    fn answer(&self, message: &Message) {
+        let reply = match message {
+            Message::PreVote { term, .. } => Message::VoteReply {
+                term: *term,
+                pre: true,
+                granted: true,
+            },
+            Message::Vote { term, .. } => Message::VoteReply {
+                term: *term,
+                pre: false,
+                granted: true,
+            },
+            Message::Append(append) => Message::AppendReply {
+                term: append.term,
+                ok: true,
+                index: append.prev + append.entries.len() as u64,
+                hint: 0,
+                sent: append.sent,
+            },
+            _ => return,
+        };
+        self.replica.receive(VmId(2), reply);
+    }
+}
+
+fn carries_data(message: &Message) -> bool {
+    let data = |e: &zinnia_raft::Entry| matches!(e.payload, Payload::Data(_));
+    matches!(message, Message::Append(append) if append.entries.iter().any(data))
+}
+
+/// Guards against a leader that lets the others wait for its own disk, which doubles the time of each
+/// commit, and against a vote that is asked for before the own vote is on disk.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_do_not_wait_for_the_own_disk_but_votes_do() {
+    let voter = Voter::start();
+    voter.disk.hold(true);
+    let is_vote = |m: &Message| matches!(m, Message::Vote { .. });
+    let early = voter.next(QUIET * 3, is_vote);
+    assert_eq!(early, None, "a vote left before the sync");
+    voter.disk.hold(false);
+    let vote = voter.next(LIMIT, is_vote).expect("a vote");
+    voter.answer(&vote);
+    let is_append = |m: &Message| matches!(m, Message::Append(a) if a.commit > 0);
+    let leads = voter.next(LIMIT, is_append).expect("a leader");
+    voter.answer(&leads);
+    voter.disk.hold(true);
+    let (tx, rx) = tokio::sync::oneshot::channel();
+    let replica = Arc::clone(&voter.replica);
+    tokio::spawn(async move {
+        let _ = tx.send(replica.propose("a".to_owned(), LIMIT).await);
+    });
+    let entry = voter.next(LIMIT, carries_data).expect("an entry");
+    voter.disk.hold(false);
+    voter.answer(&entry);
+    let _ = voter.next(QUIET, |_| false);
+    let verdict = rx.await.expect("a verdict");
+    assert!(
+        matches!(verdict, Some(Verdict::Applied { .. })),
+        "{verdict:?}"
+    );
+    voter.replica.stop().await;
+}
--- a/crates/zinnia-store/tests/cell.rs
+++ b/crates/zinnia-store/tests/cell.rs
@@ -17,6 +17,7 @@
 use zinnia_raft::Members;
 use zinnia_raft::Node;
 use zinnia_raft::Payload;
+use zinnia_raft::Proposal;
 use zinnia_raft::Role;
 use zinnia_raft::Settings;
 use zinnia_raft::Snapshot;
@@ -232,7 +233,7 @@
             let lead = self.leader().expect("a leader");
             let data = Data::from("abcdefghij");
             let vm = self.vms.get_mut(&lead).expect("a VM");
-            vm.inbox.push(Event::Propose { ctx, data });
+            vm.inbox.push(Event::Propose(vec![Proposal { ctx, data }]));
         }
         self.run(1_000);
         assert_eq!(self.accepted - before, count);
