--- a/crates/zinnia-control/src/gateway.rs
+++ b/crates/zinnia-control/src/gateway.rs
@@ -24,8 +24,9 @@
 const GREET: Duration = Duration::from_millis(400);
 /// Longest wait for the answer to a greeting.
 const GREET_LIMIT: Duration = Duration::from_millis(400);
-/// Longest wait for one answer before another process is asked.
-const ATTEMPT: Duration = Duration::from_millis(1_200);
+/// Longest wait for one answer before another process is asked. An answer takes some tens of
+/// milliseconds; a leader that stands still gives none.
+const ATTEMPT: Duration = Duration::from_millis(400);
 /// Pause before a process is asked again while there is no leader.
 const AGAIN: Duration = Duration::from_millis(40);
 /// Silence of the leader after which this process does not count as ready.
