Place the tasks of a job in one failure domain first

Now the workers of one domain come first, a different one for each job; best fit decides inside. Ruled out: the order by domain alone is not enough. The domains are numbered once a pass instead. Test a_job_stays_in_one_domain.

--- a/crates/zinnia-plan/src/place.rs
+++ b/crates/zinnia-plan/src/place.rs
@@ -41,6 +41,8 @@
 /// Free room as the pass goes on.
 pub(crate) struct Free<'a> {
     pub(crate) worker: &'a Worker,
+    /// Position of its failure domain among all of them.
+    domain: u64,
     pub(crate) room: Room,
     /// What is kept for gangs that wait, whether it is free already or not.
     pub(crate) kept: Room,
@@ -62,6 +64,8 @@
 pub(crate) struct Pass<'a> {
     pub(crate) state: &'a State,
     pub(crate) free: BTreeMap<&'a str, Free<'a>>,
+    /// Number of their failure domains.
+    domains: u64,
     pub(crate) usage: BTreeMap<&'a str, Room>,
     /// Gangs for which room is kept, by pool.
     pub(crate) keeps: BTreeMap<&'a str, usize>,
@@ -77,9 +81,12 @@
             return;
         }
         due.sort_by_key(|d| (d.queue.priority, d.job.accepted_ms, d.id));
+        let mut free = self.free(state, now);
+        let domains = number_domains(&mut free);
         let mut pass = Pass {
             state,
-            free: self.free(state, now),
+            free,
+            domains,
             usage: BTreeMap::new(),
             keeps: BTreeMap::new(),
             now,
@@ -113,6 +120,7 @@
             let room = worker.life.room.minus(&worker.used);
             let entry = Free {
                 worker,
+                domain: 0,
                 room,
                 kept: Room::default(),
                 unasked: room,
@@ -168,6 +176,23 @@
     }
 }
 
+/// Numbers the failure domains of the workers; returns how many there are, at least one.
+fn number_domains(free: &mut BTreeMap<&str, Free<'_>>) -> u64 {
+    let mut numbers: BTreeMap<&str, u64> = BTreeMap::new();
+    for f in free.values() {
+        let worker: &Worker = f.worker;
+        numbers.insert(&worker.life.domain, 0);
+    }
+    for (at, number) in (0..).zip(numbers.values_mut()) {
+        *number = at;
+    }
+    for f in free.values_mut() {
+        let found = numbers.get(f.worker.life.domain.as_str());
+        f.domain = found.copied().unwrap_or_default();
+    }
+    numbers.len().max(1) as u64
+}
+
 /// Steps whose turn has come and that have tasks without a worker.
 fn waiting(state: &State, wall_ms: i64) -> Vec<Due<'_>> {
     let mut list = Vec::new();
@@ -228,6 +253,9 @@
     /// Workers that could run a task of the step and that `pick` chooses, the best first.
     fn ranked(&self, due: &Due<'_>, pick: impl Fn(&Free<'a>) -> bool) -> Vec<&'a str> {
         let step = due.step;
+        // A job whose tasks are in one failure domain is held up by the loss of that one only. Jobs
+        // begin with different domains.
+        let shift = due.id.job.0 % self.domains;
         let fit = |f: &Free<'a>| {
             let life = &f.worker.life;
             life.pool == due.queue.pool
@@ -241,7 +269,8 @@
             let far =
                 !step.data_rack.is_empty() && f.worker.life.rack() != Some(step.data_rack.as_str());
             let beside = step.target_ms > 0 && f.fills;
-            (far, beside, f.room.gpu, f.room.cpu)
+            let domain = (f.domain + shift) % self.domains;
+            (far, beside, domain, f.room.gpu, f.room.cpu)
         });
         rows.into_iter().map(|(name, _)| name).collect()
     }
--- a/crates/zinnia-plan/tests/lead.rs
+++ b/crates/zinnia-plan/tests/lead.rs
@@ -513,3 +513,32 @@
     world.lead.advised(&question, granted(), Time(world.now));
     assert_eq!(world.place().len(), 2, "the gang starts");
 }
+
+/// Guards against a job that is held up by the loss of any failure domain, because its tasks are
+/// spread over all of them.
+#[test]
+fn a_job_stays_in_one_domain() {
+    let mut world = World::new(document(None));
+    for n in 0..12 {
+        let domain = format!("z{}", n % 3);
+        let life = zinnia_plan::Life {
+            domain,
+            ..life(&format!("w{n:02}"), 1_000)
+        };
+        world.meet(&life);
+    }
+    let mut first = std::collections::BTreeSet::new();
+    for id in 1..=3 {
+        world.submit_to("quick", id, job(vec![step(4, 1_000)]));
+        let orders = world.place();
+        assert_eq!(orders.len(), 4);
+        let domain = |o: &zinnia_plan::StartCall| {
+            let worker = &world.state.workers[&o.call.worker];
+            worker.life.domain.clone()
+        };
+        let used: std::collections::BTreeSet<String> = orders.iter().map(domain).collect();
+        assert_eq!(used.len(), 1, "job {id}: {used:?}");
+        first.extend(used);
+    }
+    assert_eq!(first.len(), 3, "jobs begin with different domains");
+}
