--- a/crates/zinnia-control/src/gateway.rs
+++ b/crates/zinnia-control/src/gateway.rs
@@ -36,6 +36,8 @@
 
 #[derive(Debug, Default)]
 struct Known {
+    /// Addresses that the settings name.
+    seeds: Vec<String>,
     /// Members' addresses for other processes.
     members: BTreeSet<String>,
     leader: Option<String>,
@@ -51,7 +53,6 @@
     links: Links,
     hello: Hello,
     engine: Option<Arc<Engine>>,
-    seeds: Vec<String>,
     known: Mutex<Known>,
 }
 
@@ -64,13 +65,13 @@
     ) -> Self {
         let known = Known {
             members: seeds.iter().cloned().collect(),
+            seeds,
             ..Known::default()
         };
         Self {
             links,
             hello,
             engine,
-            seeds,
             known: Mutex::new(known),
         }
     }
@@ -79,6 +80,13 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes over other seeds; the members known so far are asked as well until one answers.
+    pub fn set_seeds(&self, seeds: Vec<String>) {
+        let mut known = self.known();
+        known.members.extend(seeds.iter().cloned());
+        known.seeds = seeds;
+    }
+
     /// Whether the leader answered lately.
     pub fn is_ready(&self) -> bool {
         if self.engine.as_ref().is_some_and(|e| e.leads()) {
@@ -211,7 +219,7 @@
         }
         let mut known = self.known();
         if !welcome.members.is_empty() {
-            known.members = self.seeds.iter().cloned().collect();
+            known.members = known.seeds.iter().cloned().collect();
             known
                 .members
                 .extend(welcome.members.into_iter().map(|(_, a)| a));
--- a/crates/zinnia-control/src/serve.rs
+++ b/crates/zinnia-control/src/serve.rs
@@ -114,7 +114,10 @@
         );
         let limit = Duration::from_millis(self.settings.read_wait_ms);
         let deadline = tokio::time::Instant::now() + limit;
-        while allowed {
+        if !allowed {
+            return;
+        }
+        loop {
             let progress = self.progress.notified();
             tokio::pin!(progress);
             // A change between the look at the job and the wait must not be missed.
--- a/crates/zinnia-control/tests/cell.rs
+++ b/crates/zinnia-control/tests/cell.rs
@@ -206,6 +206,7 @@
     entry: Process,
     worker: Shared,
     origin: Instant,
+    seeds: Vec<String>,
     _dirs: Vec<tempfile::TempDir>,
 }
 
@@ -220,7 +221,7 @@
         let worker = Shared::default();
         let origin = Instant::now();
         let base = Settings {
-            seeds,
+            seeds: seeds.clone(),
             bootstrap: true,
             key: "key-of-a-test-cell".to_owned(),
             ..settings
@@ -249,6 +250,7 @@
             entry: entry.expect("an entry process"),
             worker,
             origin,
+            seeds,
             _dirs: dirs,
         };
         let publish = Request::Publish {
@@ -448,3 +450,22 @@
     beats.abort();
     assert_eq!(answer, COMPLETED);
 }
+
+/// Guards against a process that never finds the cell again, because it keeps to seeds that are gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn other_seeds_lead_to_the_cell() {
+    let cell = Cell::start().await;
+    let settings = Settings {
+        peer: free_addr(),
+        seeds: vec![free_addr().to_string()],
+        key: "key-of-a-test-cell".to_owned(),
+        ..Settings::default()
+    };
+    let lost = Process::start(settings, port(&cell.worker, cell.origin)).await;
+    let gateway = lost.expect("an entry process").gateway;
+    let read = Request::Read;
+    let answer = gateway.ask(&read, Duration::from_millis(500)).await;
+    assert!(matches!(answer, Answer::Busy(_)), "{answer:?}");
+    gateway.set_seeds(cell.seeds.clone());
+    until(&gateway, &read, &Answer::Document("raw".to_owned())).await;
+}
