Call a request's outcome unknown when a refusal follows an attempt that may have been carried out

A submission waited for a leader that stood still, its key was withdrawn, and the next leader's 401 was passed on, though the first leader had recorded the job. Ruled out: messages that leave after a call has timed out (a call that is not connected is dropped), and rejected proposals of the log (only those certainly overruled are reported). Test a_refusal_after_an_unknown_attempt_is_not_certain (failed first: 401 for no key, no queue and busy).

--- a/crates/zinnia-control/src/message.rs
+++ b/crates/zinnia-control/src/message.rs
@@ -58,6 +58,29 @@
     },
 }
 
+impl Request {
+    /// Whether it may change something.
+    fn changes(&self) -> bool {
+        match self {
+            Self::Ask(ask) => ask.view != View::Get,
+            Self::Publish { .. } | Self::Beat(_) | Self::Leave { .. } => true,
+            Self::Read => false,
+        }
+    }
+
+    /// The answer for the caller, when `answer` came after an attempt of which the outcome is not
+    /// known: a refusal of a later attempt says nothing about that one, which may have been carried
+    /// out under the document of its time.
+    pub(crate) fn after_unknown(&self, answer: Answer) -> Answer {
+        let refused = matches!(answer, Answer::Busy(_) | Answer::NoKey | Answer::NoQueue);
+        if refused && self.changes() {
+            Answer::Unknown
+        } else {
+            answer
+        }
+    }
+}
+
 /// The leader's answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/zinnia-control/tests/cell.rs
+++ b/crates/zinnia-control/tests/cell.rs
@@ -7,6 +7,8 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -469,3 +471,73 @@
     gateway.set_seeds(cell.seeds.clone());
     until(&gateway, &read, &Answer::Document("raw".to_owned())).await;
 }
+
+/// Guards against a refusal that is said to be certain although an earlier attempt of the same
+/// request was carried out: a leader stood still, the key was withdrawn, and the next leader refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_refusal_after_an_unknown_attempt_is_not_certain() {
+    struct Case {
+        name: &'static str,
+        request: Request,
+        second: Answer,
+        answer: Answer,
+    }
+    let submit = ask(1, View::Submit(Ok(job())));
+    let case = |name, request: &Request, second: &Answer, answer: &Answer| Case {
+        name,
+        request: request.clone(),
+        second: second.clone(),
+        answer: answer.clone(),
+    };
+    let busy = Answer::Busy(1_000);
+    let cases = [
+        case("no key", &submit, &Answer::NoKey, &Answer::Unknown),
+        case("no queue", &submit, &Answer::NoQueue, &Answer::Unknown),
+        case("busy", &submit, &busy, &Answer::Unknown),
+        case(
+            "cancel",
+            &ask(1, View::Cancel),
+            &Answer::NoKey,
+            &Answer::Unknown,
+        ),
+        case("accepted", &submit, &Answer::Done, &Answer::Done),
+        case("a read", &ask(1, View::Get), &Answer::NoKey, &Answer::NoKey),
+    ];
+    for case in cases {
+        let addr = free_addr();
+        let settings = Settings {
+            peer: free_addr(),
+            seeds: vec![addr.to_string()],
+            key: "key-of-a-test-cell".to_owned(),
+            ..Settings::default()
+        };
+        let links = zinnia_peer::Settings {
+            addr: addr.to_string(),
+            ..zinnia_peer::Settings::new(
+                zinnia_peer::ClusterKey::new(&settings.key).expect("a key"),
+            )
+        };
+        let asked = Arc::new(AtomicUsize::new(0));
+        let second = case.second.clone();
+        let leader = move |_, method: String, _| {
+            let first = method == "ask" && asked.fetch_add(1, Ordering::Relaxed) == 0;
+            let answer = serde_json::to_value(&second).expect("an answer");
+            async move {
+                if method != "ask" {
+                    std::future::pending::<()>().await;
+                }
+                if first {
+                    tokio::time::sleep(LIMIT).await;
+                }
+                Ok(answer)
+            }
+        };
+        let _server = zinnia_peer::serve(addr, links, leader)
+            .await
+            .expect("a peer");
+        let process = Process::start(settings, port(&Shared::default(), Instant::now())).await;
+        let gateway = process.expect("an entry process").gateway;
+        let answer = gateway.ask(&case.request, Duration::from_secs(2)).await;
+        assert_eq!(answer, case.answer, "{}", case.name);
+    }
+}
