--- a/crates/zinnia-control/src/peers.rs
+++ b/crates/zinnia-control/src/peers.rs
@@ -71,9 +71,10 @@
         let handler = move |vm: VmId, method: String, value: Box<RawValue>| {
             handle(engine.clone(), port.clone(), vm, method, value)
         };
-        let server = zinnia_peer::serve(settings.peer, links, handler)
+        let bind = settings.bind.unwrap_or(settings.peer);
+        let server = zinnia_peer::serve(bind, links, handler)
             .await
-            .with_context(|| format!("listen on {}", settings.peer))?;
+            .with_context(|| format!("listen on {bind}"))?;
         tokio::spawn(Arc::clone(&gateway).greet());
         Ok(Self {
             gateway,
--- a/crates/zinnia-control/src/settings.rs
+++ b/crates/zinnia-control/src/settings.rs
@@ -11,6 +11,8 @@
 pub struct Settings {
     /// Own address for other processes.
     pub peer: SocketAddr,
+    /// Address to listen on for other processes, when it is not `peer`.
+    pub bind: Option<SocketAddr>,
     /// Own address for workers and operators; empty for a process that serves neither.
     pub control: String,
     /// Addresses for other processes of some members of the log.
@@ -41,6 +43,7 @@
     fn default() -> Self {
         Self {
             peer: SocketAddr::from(([127, 0, 0, 1], 0)),
+            bind: None,
             control: String::new(),
             seeds: Vec::new(),
             data: None,
