Read-through: one rule for what may leave before a sync, one look at a job for most reads

What may be done before the own disk has synced stood in the log thread and again in the simulated cell; it is Action::needs_no_sync now, used by both. A read prepared its answer twice, with copies of the request, also when the job was not near its end; the cheap look at the job comes first. The comment on term and vote in the log thread said more than holds: they are as last written. Behaviour is meant to stay; no assertion changed.

--- a/crates/zinnia-control/src/gateway.rs
+++ b/crates/zinnia-control/src/gateway.rs
@@ -111,16 +111,12 @@
     pub async fn ask(&self, request: &Request, limit: Duration) -> Answer {
         let deadline = Instant::now() + limit;
         let mut reached = false;
-        let settle = |answer: Answer, reached: bool| match reached {
-            true => request.after_unknown(answer),
-            false => answer,
-        };
         loop {
             if let Some(engine) = self.engine.as_ref().filter(|e| e.leads()) {
                 match engine.serve(request.clone()).await {
                     Answer::Elsewhere(_) => {}
                     Answer::Unknown => reached = true,
-                    answer => return settle(answer, reached),
+                    answer => return request.settle(answer, reached),
                 }
             } else if let Some(addr) = self.target() {
                 let left = deadline.saturating_duration_since(Instant::now());
@@ -131,7 +127,7 @@
                 match answer {
                     Ok(Answer::Elsewhere(leader)) => self.moved(&addr, leader),
                     Ok(Answer::Unknown) => reached = true,
-                    Ok(answer) => return settle(answer, reached),
+                    Ok(answer) => return request.settle(answer, reached),
                     Err(error) => {
                         reached |= error.sent;
                         // One line for each would flood the log while no leader is in reach; the
--- a/crates/zinnia-control/src/message.rs
+++ b/crates/zinnia-control/src/message.rs
@@ -68,12 +68,12 @@
         }
     }
 
-    /// The answer for the caller, when `answer` came after an attempt of which the outcome is not
-    /// known: a refusal of a later attempt says nothing about that one, which may have been carried
+    /// The answer for the caller; `reached` tells whether the outcome of an earlier attempt is not
+    /// known. A refusal of a later attempt says nothing about that one, which may have been carried
     /// out under the document of its time.
-    pub(crate) fn after_unknown(&self, answer: Answer) -> Answer {
+    pub(crate) fn settle(&self, answer: Answer, reached: bool) -> Answer {
         let refused = matches!(answer, Answer::Busy(_) | Answer::NoKey | Answer::NoQueue);
-        if refused && self.changes() {
+        if reached && refused && self.changes() {
             Answer::Unknown
         } else {
             answer
--- a/crates/zinnia-control/src/serve.rs
+++ b/crates/zinnia-control/src/serve.rs
@@ -108,22 +108,20 @@
         let Some(id) = ask.path.rsplit('/').next().and_then(job_id) else {
             return;
         };
-        let allowed = matches!(
-            self.meaning(ask.clone()),
-            Meaning::Answer(Answer::Job { .. })
-        );
-        let limit = Duration::from_millis(self.settings.read_wait_ms);
-        let deadline = tokio::time::Instant::now() + limit;
-        if !allowed {
+        let closing = || self.core().state.jobs.get(&id).is_some_and(Job::is_closing);
+        // Nobody without a right to the job may tell by the time of the answer how it stands.
+        let allowed = |meaning| matches!(meaning, Meaning::Answer(Answer::Job { .. }));
+        if !closing() || !allowed(self.meaning(ask.clone())) {
             return;
         }
+        let limit = Duration::from_millis(self.settings.read_wait_ms);
+        let deadline = tokio::time::Instant::now() + limit;
         loop {
             let progress = self.progress.notified();
             tokio::pin!(progress);
             // A change between the look at the job and the wait must not be missed.
             progress.as_mut().enable();
-            let closing = self.core().state.jobs.get(&id).is_some_and(Job::is_closing);
-            if !closing || tokio::time::timeout_at(deadline, progress).await.is_err() {
+            if !closing() || tokio::time::timeout_at(deadline, progress).await.is_err() {
                 return;
             }
         }
--- a/crates/zinnia-plan/src/place.rs
+++ b/crates/zinnia-plan/src/place.rs
@@ -268,7 +268,7 @@
         rows.sort_by_key(|(_, f)| {
             let far =
                 !step.data_rack.is_empty() && f.worker.life.rack() != Some(step.data_rack.as_str());
-            let beside = step.target_ms > 0 && f.fills;
+            let beside = step.serves() && f.fills;
             let domain = (f.domain + shift) % self.domains;
             (far, beside, domain, f.room.gpu, f.room.cpu)
         });
@@ -387,7 +387,7 @@
             free.room = free.room.minus(&due.step.charge());
             free.unasked = free.unasked.minus(&due.step.charge());
             free.fills |= due.step.fills;
-            free.serves |= due.step.target_ms > 0;
+            free.serves |= due.step.serves();
         }
         let used = self.used(&due.job.team);
         *used = used.plus(&room);
--- a/crates/zinnia-plan/src/spec.rs
+++ b/crates/zinnia-plan/src/spec.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Whether its tasks serve users of their own.
+    pub(crate) fn serves(&self) -> bool {
+        self.target_ms > 0
+    }
+
     /// What a task takes from its worker's room; a task that fills takes no processor time.
     pub fn charge(&self) -> Room {
         let cpu = if self.fills { 0 } else { self.room.cpu };
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -293,7 +293,7 @@
             return;
         };
         let (charge, room) = (step.charge(), step.room);
-        let kinds = (u32::from(step.fills), u32::from(step.target_ms > 0));
+        let kinds = (u32::from(step.fills), u32::from(step.serves()));
         state.placed += 1;
         if let Some(task) = state.tasks.get_mut(id.index as usize) {
             task.run = start.run;
@@ -319,7 +319,7 @@
             return false;
         };
         let (charge, room) = (step.charge(), step.room);
-        let kinds = (u32::from(step.fills), u32::from(step.target_ms > 0));
+        let kinds = (u32::from(step.fills), u32::from(step.serves()));
         let Some(task) = state.tasks.get_mut(id.index as usize) else {
             return false;
         };
--- a/crates/zinnia-raft/src/action.rs
+++ b/crates/zinnia-raft/src/action.rs
@@ -74,6 +74,23 @@
     },
 }
 
+impl Action {
+    /// Whether the action may be performed before the writes of the same pass are synced, while role,
+    /// term and vote stay as they are.
+    ///
+    /// The leader's entries may reach the others while its own disk still works on them, since it
+    /// counts itself only after the sync; what is committed is on the disks of a quorum already.
+    pub fn needs_no_sync(&self) -> bool {
+        match self {
+            Self::Send { message, .. } => matches!(message, Message::Append(_)),
+            Self::Accepted { .. } | Self::Apply { .. } | Self::Rejected { .. } => true,
+            Self::Persist { .. } | Self::Save { .. } | Self::Install { .. } | Self::Role { .. } => {
+                false
+            }
+        }
+    }
+}
+
 /// Role of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/zinnia-raft/src/sim/world.rs
+++ b/crates/zinnia-raft/src/sim/world.rs
@@ -202,10 +202,12 @@
             {
                 let voted = |h: HardState| (h.term, h.vote);
                 if hard.is_none_or(|h| voted(h) == voted(vm.disk.hard)) {
-                    early.extend(vm.todo.iter().map_while(|action| match action {
-                        Action::Send { to, message } => Some((*to, message.clone())),
+                    let sends = vm.todo.iter().map_while(|action| match action {
+                        Action::Send { to, message } => Some((action, *to, message)),
                         _ => None,
-                    }));
+                    });
+                    let leaves = sends.filter(|(action, _, _)| action.needs_no_sync());
+                    early.extend(leaves.map(|(_, to, message)| (to, message.clone())));
                 }
                 vm.disk.write(hard, truncate, &entries);
             }
@@ -213,9 +215,7 @@
             vm.stop();
         }
         for (to, message) in early {
-            if matches!(message, Message::Append(_)) {
-                self.send(id, to, &message);
-            }
+            self.send(id, to, &message);
         }
     }
 
--- a/crates/zinnia-replica/src/thread.rs
+++ b/crates/zinnia-replica/src/thread.rs
@@ -14,7 +14,6 @@
 use zinnia_raft::Event;
 use zinnia_raft::HardState;
 use zinnia_raft::Members;
-use zinnia_raft::Message;
 use zinnia_raft::Node;
 use zinnia_raft::Proposal;
 use zinnia_raft::Recovered;
@@ -54,25 +53,12 @@
     pub(crate) placed: BTreeMap<u64, oneshot::Sender<Verdict<R>>>,
     /// Proposals taken in and not yet given to the node.
     pub(crate) proposals: Vec<Proposal>,
-    /// Term and vote that are on disk for certain.
+    /// Term and vote as last written; unknown at the start and after a failed write or sync.
     pub(crate) voted: Option<(u64, Option<VmId>)>,
     /// When a failed disk was last tried.
     pub(crate) tried: Time,
 }
 
-/// Whether an action may be performed before the writes of the same pass are synced.
-///
-/// The leader's entries may reach the others while its own disk still works on them, since it counts
-/// itself only after the sync; what is committed is on the disks of a quorum already.
-fn needs_no_sync(action: &Action) -> bool {
-    match action {
-        Action::Send { message, .. } => matches!(message, Message::Append(_)),
-        Action::Accepted { .. } | Action::Apply { .. } | Action::Rejected { .. } => true,
-        Action::Persist { .. } | Action::Save { .. } | Action::Install { .. } => false,
-        Action::Role { .. } => false,
-    }
-}
-
 impl<R> Thread<R> {
     pub(crate) fn run(mut self) {
         let tick = Duration::from_millis((self.settings.heartbeat_ms / 4).max(1));
@@ -189,7 +175,7 @@
                 synced |= self.write(action, false, &mut last)?;
             }
             if synced && steady {
-                let (early, late) = actions.into_iter().partition(needs_no_sync);
+                let (early, late) = actions.into_iter().partition(Action::needs_no_sync);
                 actions = late;
                 for action in early {
                     self.act(action)?;
