plan: renew tickets only where they let a task start

Cause: a query renewed the tickets of granted workers with free resources, also of those that had as many tasks of the step as maxPerServer allows.

Change: a query renews only tickets of workers that could take a task of the step now; if there is none, it asks about undecided workers. The test fails without the change.

--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -339,17 +339,21 @@
     ///
     /// The policy's decision on a worker does not change, and a query about many workers takes
     /// hardly longer than one about a single worker. The first queries therefore include all
-    /// eligible workers, and later ones renew the tickets of workers with free resources.
+    /// eligible workers, and later ones renew the tickets of workers with free resources. Workers
+    /// that could not take a task even with a ticket are left out: renewing their tickets would keep
+    /// the workers that the policy has not decided on from ever being queried.
     fn query_candidates(
         &self,
         waiting: &WaitingStep<'_>,
         decisions: &PolicyDecisions,
     ) -> Vec<&'a str> {
-        let eligible_workers = self.eligible_workers(waiting);
+        let task_counts = self.tasks_per_worker(waiting);
+        let mut eligible_workers = self.eligible_workers(waiting);
+        eligible_workers.retain(|w| waiting.step.accepts_more(task_counts.get(w)));
         let renew = |w: &&&str| {
             let renewable =
                 decisions.granted.contains(**w) && decisions.ticket(w, self.now).is_none();
-            renewable && self.has_unqueried_capacity(waiting, w)
+            renewable && self.has_capacity(waiting, w) && self.has_unqueried_capacity(waiting, w)
         };
         let mut names: Vec<&str> = eligible_workers.iter().filter(renew).copied().collect();
         if names.is_empty() {
@@ -465,11 +469,8 @@
                 return 0;
             }
             let fits = |name: &&&'a str| {
-                let resources = self.has_capacity(waiting, name);
-                let below_limit = task_counts
-                    .get(**name)
-                    .is_none_or(|n| *n < waiting.step.max_per_worker());
-                resources && below_limit
+                self.has_capacity(waiting, name)
+                    && waiting.step.accepts_more(task_counts.get(**name))
             };
             // A worker on which the task failed before is used only if there is no other.
             let failed_here = |name: &&&'a str| task.failed_on == ***name;
--- a/crates/zinnia-plan/src/spec.rs
+++ b/crates/zinnia-plan/src/spec.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Whether a worker that has this many tasks of the step may get another one.
+    pub(crate) fn accepts_more(&self, count: Option<&u32>) -> bool {
+        count.is_none_or(|n| *n < self.max_per_worker())
+    }
+
     /// Whether the tasks serve user requests.
     pub(crate) fn is_service(&self) -> bool {
         self.target_ms > 0
--- a/crates/zinnia-plan/tests/leader.rs
+++ b/crates/zinnia-plan/tests/leader.rs
@@ -562,3 +562,36 @@
     }
     assert_eq!(used_domains.len(), 3, "jobs start with different domains");
 }
+
+/// Guards against a task that never starts because tickets are renewed for workers that can take no
+/// further task of the step, while the workers that could are never queried.
+#[test]
+fn undecided_workers_are_queried_before_useless_renewals() {
+    let mut sim = Simulation::new(document(Some(POLICY)));
+    let names: Vec<String> = (0..31).map(|n| format!("w{n:02}")).collect();
+    for name in &names {
+        sim.add_worker(&incarnation(name, 4_000));
+    }
+    sim.submit(job(vec![zinnia_plan::Step {
+        per_worker: 1,
+        ..step(2, 1_000)
+    }]));
+    let query = sim.plan().queries.pop().expect("the policy is queried");
+    assert_eq!(query.workers, names[..30]);
+    let granted = vec![("w00".to_owned(), "ticket".to_owned())];
+    sim.leader
+        .policy_answered(&query, Some(granted), Time(sim.now));
+    let mut plan = sim.plan();
+    assert_eq!(plan.starts.len(), 1, "one worker may run one task");
+    sim.start(plan.starts);
+    let failed = plan.queries.pop().expect("the policy is queried again");
+    assert_eq!(failed.workers, names[30..]);
+    sim.leader.policy_answered(&failed, None, Time(sim.now));
+    sim.now += POLICY.valid_ms;
+    let query = sim
+        .plan()
+        .queries
+        .pop()
+        .expect("the policy is queried after the failure");
+    assert_eq!(query.workers, names[30..]);
+}
