plan: look up workers by number in a planning pass

Each waiting task compared worker names in maps, each step with tickets ranked all workers before it dropped those without a ticket, and each step of low priority added up the pool again.

Change: workers get a number for the term; the pass keeps capacities in an array, ranks only the workers with a ticket, and keeps the sums of a pool. Decisions are the same but for the order of workers that are equal in rank.

--- a/crates/zinnia-plan/src/gang.rs
+++ b/crates/zinnia-plan/src/gang.rs
@@ -2,14 +2,15 @@
 
 use std::collections::BTreeSet;
 
-use crate::Leader;
 use crate::Plan;
 use crate::Policy;
 use crate::Resources;
+use crate::Worker;
+use crate::capacity::WorkerCapacity;
 use crate::placement::PlacementPass;
 use crate::placement::WaitingStep;
-use crate::placement::WorkerCapacity;
-use crate::state::Worker;
+use crate::policy::PolicyDecisions;
+use crate::worker_index::WorkerIndex;
 
 /// Maximum number of gangs per pool with reserved resources. A reservation exceeds what the gang
 /// uses at the time, since its workers become free one after the other. With many
@@ -20,82 +21,83 @@
 /// How long a gang waits for enough resources in one rack before it is spread over several racks.
 const RACK_WAIT_MS: i64 = 2_000;
 
-impl Leader {
+impl<'a> PlacementPass<'a> {
     /// Places a gang that needs tickets.
     ///
     /// Tickets are valid for a short time only. They are renewed once the workers that the policy
     /// allows have enough free resources for the whole gang, and these are reserved until the
     /// policy answers.
-    pub(crate) fn place_ticketed_gang<'a>(
+    pub(crate) fn place_ticketed_gang(
         &mut self,
-        pass: &mut PlacementPass<'a>,
+        decisions: &mut PolicyDecisions,
         waiting: &WaitingStep<'a>,
         policy: &Policy,
         plan: &mut Plan,
     ) {
-        let now = pass.now;
-        if !pass.within_team_limit(waiting, waiting.state.tasks.len() as u64) {
+        let now = self.now;
+        if !self.within_team_limit(waiting, waiting.state.tasks.len() as u64) {
             return;
         }
-        let decisions = self.decisions.entry(waiting.id).or_default();
-        let mut available = pass.available_workers(waiting);
-        available.retain(|w| decisions.granted.contains(*w));
-        available.sort_by_key(|w| decisions.ticket(w, now).is_none());
-        let mut names = match pass.select_workers(waiting, &available) {
-            Some(choice) => {
-                if choice.iter().all(|w| decisions.ticket(w, now).is_some()) {
-                    pass.start_gang(waiting, &choice, plan);
-                    return;
-                }
-                pass.reserve(waiting, &choice);
-                choice
+        let granted = decisions.granted.iter().copied();
+        let mut available = self.available_among(waiting, granted);
+        available.sort_by_key(|w| decisions.ticket(*w, now).is_none());
+        let choice = self.select_workers(waiting, &available);
+        if let Some(choice) = &choice {
+            if choice.iter().all(|w| decisions.ticket(*w, now).is_some()) {
+                self.start_gang(waiting, choice, plan);
+                return;
             }
-            None => {
-                let eligible_workers = pass.eligible_workers(waiting);
+            self.reserve(waiting, choice);
+        }
+        let may_query = decisions.may_query(now, plan);
+        let mut workers = match choice {
+            Some(choice) => choice,
+            None if may_query || self.may_reserve(waiting) => {
+                let eligible_workers = self.eligible_workers(waiting);
                 let mut granted = eligible_workers.clone();
-                granted.retain(|w| decisions.granted.contains(*w));
-                pass.reserve_for_gang(waiting, &granted);
-                pass.undecided_workers(waiting, decisions, eligible_workers)
+                granted.retain(|w| decisions.granted.contains(w));
+                self.reserve_for_gang(waiting, &granted);
+                self.undecided_workers(waiting, decisions, eligible_workers)
             }
+            None => return,
         };
-        names.dedup();
-        if decisions.may_query(now, plan) {
-            decisions.query(waiting.id, &names, policy, plan);
+        workers.dedup();
+        if may_query {
+            self.query_policy(decisions, waiting, workers, policy, plan);
         }
     }
-}
 
-impl<'a> PlacementPass<'a> {
     /// Reserves resources on these workers for the members of a gang.
-    fn reserve(&mut self, waiting: &WaitingStep<'_>, names: &[&'a str]) {
+    fn reserve(&mut self, waiting: &WaitingStep<'_>, workers: &[WorkerIndex]) {
         let need = waiting.step.demand();
-        for name in names {
-            if let Some(capacity) = self.workers.get_mut(name) {
+        for worker in workers {
+            if let Some(capacity) = self.capacities.get_mut(*worker) {
                 capacity.reserved = capacity.reserved.plus(&need);
                 capacity.unqueried = capacity.unqueried.minus(&need);
             }
         }
     }
 
+    /// Whether resources may be reserved for a gang that cannot start yet.
+    fn may_reserve(&self, waiting: &WaitingStep<'_>) -> bool {
+        let reservations = self.gang_reservations.get(waiting.queue.pool.as_str());
+        self.wall_ms - waiting.job.accepted_ms >= RESERVE_DELAY_MS
+            && reservations.is_none_or(|n| *n < MAX_GANG_RESERVATIONS)
+    }
+
     /// Reserves resources for a waiting gang, since smaller tasks would otherwise take whatever
     /// becomes free.
-    fn reserve_for_gang(&mut self, waiting: &WaitingStep<'a>, names: &[&'a str]) {
-        if self.wall_ms - waiting.job.accepted_ms < RESERVE_DELAY_MS {
-            return;
-        }
-        let reservations = self
-            .gang_reservations
-            .entry(waiting.queue.pool.as_str())
-            .or_default();
-        if *reservations >= MAX_GANG_RESERVATIONS {
+    fn reserve_for_gang(&mut self, waiting: &WaitingStep<'a>, workers: &[WorkerIndex]) {
+        if !self.may_reserve(waiting) {
             return;
         }
-        *reservations += 1;
+        let reservations = self.gang_reservations.entry(&waiting.queue.pool);
+        *reservations.or_default() += 1;
         // Within a failure domain the workers are sorted by free resources in ascending order, so
         // the reverse order prefers those with the most.
-        let names = names.iter().rev().copied();
-        let chosen = self.fit_members(waiting, names, |f| {
-            f.worker.incarnation.resources.minus(&f.reserved)
+        let workers = workers.iter().rev().copied();
+        let chosen = self.fit_members(waiting, workers, |c| {
+            c.worker.incarnation.resources.minus(&c.reserved)
         });
         self.reserve(waiting, &chosen);
     }
@@ -115,17 +117,17 @@
     fn select_workers(
         &self,
         waiting: &WaitingStep<'_>,
-        available: &[&'a str],
-    ) -> Option<Vec<&'a str>> {
+        available: &[WorkerIndex],
+    ) -> Option<Vec<WorkerIndex>> {
         let count = waiting.state.tasks.len();
-        let if_complete = |names: Vec<&'a str>| (names.len() == count).then_some(names);
+        let if_complete = |workers: Vec<WorkerIndex>| (workers.len() == count).then_some(workers);
         if waiting.step.same_rack && count > 1 {
-            let racks: BTreeSet<&str> = available.iter().filter_map(|w| self.rack(w)).collect();
+            let racks: BTreeSet<&str> = available.iter().filter_map(|w| self.rack(*w)).collect();
             let choice = racks.into_iter().find_map(|rack| {
                 let in_rack = available
                     .iter()
                     .copied()
-                    .filter(|w| self.rack(w) == Some(rack));
+                    .filter(|w| self.rack(*w) == Some(rack));
                 if_complete(self.fit_members(waiting, in_rack, WorkerCapacity::unreserved))
             });
             let waited = self.wall_ms - waiting.job.accepted_ms;
@@ -140,18 +142,18 @@
         ))
     }
 
-    fn start_gang(&mut self, waiting: &WaitingStep<'a>, choice: &[&'a str], plan: &mut Plan) {
+    fn start_gang(&mut self, waiting: &WaitingStep<'a>, choice: &[WorkerIndex], plan: &mut Plan) {
         let run = waiting.state.tasks.iter().map(|t| t.run).max().unwrap_or(0) + 1;
-        for (index, name) in (0..).zip(choice) {
-            if let Some(start) = self.new_start(waiting, index, run, name) {
+        for (index, &worker) in (0..).zip(choice) {
+            if let Some(start) = self.new_start(waiting, index, run, worker) {
                 plan.starts.push(start);
-                self.allocate(waiting, name);
+                self.allocate(waiting, worker);
             }
         }
     }
 
-    fn rack(&self, name: &str) -> Option<&'a str> {
-        let worker: &'a Worker = self.workers.get(name)?.worker;
+    fn rack(&self, worker: WorkerIndex) -> Option<&'a str> {
+        let worker: &'a Worker = self.capacities.get(worker)?.worker;
         worker.incarnation.rack()
     }
 
@@ -159,14 +161,15 @@
     fn fit_members(
         &self,
         waiting: &WaitingStep<'_>,
-        names: impl Iterator<Item = &'a str>,
+        workers: impl Iterator<Item = WorkerIndex>,
         resources: impl Fn(&WorkerCapacity<'a>) -> Resources,
-    ) -> Vec<&'a str> {
+    ) -> Vec<WorkerIndex> {
         let need = waiting.step.demand();
         let count = waiting.state.tasks.len();
         let mut chosen = Vec::new();
-        for name in names {
-            let mut resources = self.workers.get(name).map(&resources).unwrap_or_default();
+        for worker in workers {
+            let capacity = self.capacities.get(worker);
+            let mut resources = capacity.map(&resources).unwrap_or_default();
             let mut on_worker = 0;
             while chosen.len() < count
                 && resources.fits(&need)
@@ -174,7 +177,7 @@
             {
                 resources = resources.minus(&need);
                 on_worker += 1;
-                chosen.push(name);
+                chosen.push(worker);
             }
         }
         chosen
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -21,7 +21,8 @@
 use crate::Task;
 use crate::TaskId;
 use crate::Worker;
-use crate::policy::PolicyDecisions;
+use crate::placement::Decisions;
+use crate::worker_index::WorkerIndices;
 use crate::worker_view::OrderState;
 use crate::worker_view::Progress;
 use crate::worker_view::SentOrder;
@@ -35,7 +36,8 @@
     base_fence: u64,
     term_start: Time,
     pub(crate) views: BTreeMap<String, WorkerView>,
-    pub(crate) decisions: BTreeMap<StepId, PolicyDecisions>,
+    pub(crate) indices: WorkerIndices,
+    pub(crate) decisions: Decisions,
     /// When all workers and runs were last checked.
     last_check: Option<Time>,
 }
@@ -56,6 +58,7 @@
             base_fence: term * FENCES_PER_TERM,
             term_start: now,
             views: BTreeMap::new(),
+            indices: WorkerIndices::default(),
             decisions: BTreeMap::new(),
             last_check: None,
         }
@@ -78,16 +81,17 @@
     fn view(&mut self, worker: &str, born: i64, now: Time) -> &mut WorkerView {
         let (base_fence, until) = (self.base_fence, self.inherited_until());
         let lease = self.longest_lease_ms();
+        let index = self.indices.assign(worker);
         let view = self
             .views
             .entry(worker.to_owned())
-            .or_insert_with(|| WorkerView::new(born, base_fence, now, until));
+            .or_insert_with(|| WorkerView::new(index, born, base_fence, now, until));
         if view.born < born {
             // Delayed orders to the previous incarnation may reach the new one, whose clock
             // restarted. The higher token rejects them, and a lease may last from their latest
             // possible arrival.
             let until = until.max(now.after(MAX_ORDER_DELAY_MS + lease));
-            *view = WorkerView::new(born, view.fence + 1, now, until);
+            *view = WorkerView::new(index, born, view.fence + 1, now, until);
         }
         view
     }
@@ -132,13 +136,13 @@
         let task = state.task(start.task)?;
         let worker = state.workers.get(&start.worker)?;
         let lease = self.settings.lease_ms;
+        let view = self.views.get_mut(&start.worker)?;
         let ticket = self
             .decisions
             .get(&StepId::from(start.task))
-            .and_then(|a| a.ticket(&start.worker, now))
+            .and_then(|d| d.ticket(view.index, now))
             .unwrap_or_default()
             .to_owned();
-        let view = self.views.get_mut(&start.worker)?;
         if view.born != start.born {
             return None;
         }
@@ -173,12 +177,12 @@
         now: Time,
     ) -> Option<Record> {
         let suspect_until = now.after(self.settings.suspect_ms);
+        let view = self.views.get_mut(&order.worker)?;
         if let StartOutcome::Refused { ticket: true, .. } = outcome
             && let Some(decisions) = self.decisions.get_mut(&StepId::from(order.task))
         {
-            decisions.drop_ticket(&order.worker);
+            decisions.drop_ticket(view.index);
         }
-        let view = self.views.get_mut(&order.worker)?;
         if view.born != order.born {
             return None;
         }
@@ -331,7 +335,7 @@
         now: Time,
     ) {
         if let Some(decisions) = self.decisions.get_mut(&query.step) {
-            decisions.answer(query, granted, now);
+            decisions.answer(query, granted, &self.indices, now);
         }
     }
 
--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -6,6 +6,7 @@
 //! proposes records and requests orders, polls and policy queries. Neither accesses a clock, a file
 //! or a socket.
 
+mod capacity;
 mod document;
 mod gang;
 mod job;
@@ -16,6 +17,7 @@
 mod record;
 mod spec;
 mod state;
+mod worker_index;
 mod worker_view;
 
 pub use document::Document;
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -1,6 +1,7 @@
 //! Placement: assigns waiting tasks to workers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use zinnia_types::Time;
 
@@ -17,8 +18,11 @@
 use crate::StepId;
 use crate::StepState;
 use crate::TaskId;
+use crate::capacity::Capacities;
+use crate::capacity::WorkerCapacity;
 use crate::policy::PolicyDecisions;
-use crate::state::Worker;
+use crate::worker_index::WorkerIndex;
+use crate::worker_index::WorkerIndices;
 
 /// Maximum number of workers in one query to the placement policy.
 const MAX_QUERY_WORKERS: usize = 30;
@@ -38,38 +42,19 @@
     pub(crate) queue: &'a Queue,
 }
 
-/// Free capacity of a worker, updated during the pass.
-pub(crate) struct WorkerCapacity<'a> {
-    pub(crate) worker: &'a Worker,
-    /// Index of its failure domain, in the order of the names.
-    domain: u64,
-    /// Resources that no run uses.
-    pub(crate) free: Resources,
-    /// Resources reserved for waiting gangs; they may still be in use.
-    pub(crate) reserved: Resources,
-    /// Free resources that are not covered by an open query to the placement policy.
-    pub(crate) unqueried: Resources,
-    /// Whether the worker runs best-effort tasks, and tasks that serve user requests.
-    pub(crate) best_effort: bool,
-    pub(crate) services: bool,
-}
-
-impl WorkerCapacity<'_> {
-    /// Free resources that are not reserved for a gang.
-    pub(crate) fn unreserved(&self) -> Resources {
-        self.free.minus(&self.reserved)
-    }
-}
+/// Decisions of the placement policy about the steps of live jobs.
+pub(crate) type Decisions = BTreeMap<StepId, PolicyDecisions>;
 
 /// Working state of one placement pass.
 pub(crate) struct PlacementPass<'a> {
     pub(crate) state: &'a State,
-    pub(crate) workers: BTreeMap<&'a str, WorkerCapacity<'a>>,
-    /// Number of failure domains among these workers.
-    domains: u64,
+    pub(crate) indices: &'a WorkerIndices,
+    pub(crate) capacities: Capacities<'a>,
     pub(crate) usage: BTreeMap<&'a str, Resources>,
     /// Number of gangs with reserved resources, by pool.
     pub(crate) gang_reservations: BTreeMap<&'a str, usize>,
+    /// Pools with an urgent queue.
+    urgent_pools: BTreeSet<&'a str>,
     pub(crate) now: Time,
     pub(crate) wall_ms: i64,
 }
@@ -82,29 +67,27 @@
             return;
         }
         waiting.sort_by_key(|d| (d.queue.priority, d.job.accepted_ms, d.id));
-        let mut workers = self.worker_capacities(state, now);
-        let domains = number_domains(&mut workers);
+        let capacities = self.worker_capacities(state, now);
+        let queues = state.document.queues.iter();
+        let urgent = queues.filter(|q| q.priority == URGENT_PRIORITY);
         let mut pass = PlacementPass {
             state,
-            workers,
-            domains,
+            indices: &self.indices,
+            capacities,
             usage: BTreeMap::new(),
             gang_reservations: BTreeMap::new(),
+            urgent_pools: urgent.map(|q| q.pool.as_str()).collect(),
             now,
             wall_ms,
         };
         for step in &waiting {
-            self.place_step(&mut pass, step, plan);
+            pass.place_step(&mut self.decisions, step, plan);
         }
     }
 
     /// Returns the free capacity of all workers that accept tasks.
-    fn worker_capacities<'a>(
-        &self,
-        state: &'a State,
-        now: Time,
-    ) -> BTreeMap<&'a str, WorkerCapacity<'a>> {
-        let mut capacities = BTreeMap::new();
+    fn worker_capacities<'a>(&self, state: &'a State, now: Time) -> Capacities<'a> {
+        let mut capacities = Capacities::new(self.indices.len());
         // Both maps are sorted by name, so that a merge finds the pairs in one pass.
         let mut views = self.views.iter().peekable();
         for (name, worker) in &state.workers {
@@ -119,90 +102,13 @@
                 && view.failed_calls == 0
                 && now >= view.suspect_until
                 && now.since(view.last_heard) < self.settings.silence_ms;
-            if !usable {
-                continue;
+            if usable {
+                capacities.insert(view.index, name, worker);
             }
-            let free = worker.incarnation.resources.minus(&worker.used);
-            let entry = WorkerCapacity {
-                worker,
-                domain: 0,
-                free,
-                reserved: Resources::default(),
-                unqueried: free,
-                best_effort: worker.best_effort > 0,
-                services: worker.services > 0,
-            };
-            capacities.insert(name.as_str(), entry);
         }
+        capacities.number_domains();
         capacities
     }
-
-    fn place_step<'a>(
-        &mut self,
-        pass: &mut PlacementPass<'a>,
-        waiting: &WaitingStep<'a>,
-        plan: &mut Plan,
-    ) {
-        if pass.must_leave_headroom(waiting) {
-            return;
-        }
-        match waiting.queue.policy {
-            Some(policy) if waiting.step.gang => {
-                self.place_ticketed_gang(pass, waiting, &policy, plan);
-            }
-            Some(policy) => self.place_ticketed_tasks(pass, waiting, &policy, plan),
-            None if waiting.step.gang => pass.place_gang(waiting, plan),
-            None => {
-                let available = pass.available_workers(waiting);
-                pass.place_tasks(waiting, &available, plan);
-            }
-        }
-    }
-
-    /// Places the tasks of a step that needs tickets, and queries the policy about further workers.
-    fn place_ticketed_tasks<'a>(
-        &mut self,
-        pass: &mut PlacementPass<'a>,
-        waiting: &WaitingStep<'a>,
-        policy: &Policy,
-        plan: &mut Plan,
-    ) {
-        let now = pass.now;
-        let mut available = pass.available_workers(waiting);
-        let decisions = self.decisions.entry(waiting.id).or_default();
-        available.retain(|w| decisions.ticket(w, now).is_some());
-        let unplaced = pass.place_tasks(waiting, &available, plan);
-        if unplaced == 0 {
-            return;
-        }
-        if !decisions.queried.is_empty() {
-            pass.mark_queried(waiting, &decisions.queried, unplaced);
-            return;
-        }
-        if !decisions.may_query(now, plan) {
-            return;
-        }
-        let names = pass.query_candidates(waiting, decisions);
-        decisions.query(waiting.id, &names, policy, plan);
-        pass.mark_queried(waiting, &decisions.queried, unplaced);
-    }
-}
-
-/// Assigns an index to each failure domain; returns their number, or 1 if there is none.
-fn number_domains(workers: &mut BTreeMap<&str, WorkerCapacity<'_>>) -> u64 {
-    let mut numbers: BTreeMap<&str, u64> = BTreeMap::new();
-    for f in workers.values() {
-        let worker: &Worker = f.worker;
-        numbers.insert(&worker.incarnation.domain, 0);
-    }
-    for (index, number) in (0..).zip(numbers.values_mut()) {
-        *number = index;
-    }
-    for f in workers.values_mut() {
-        let found = numbers.get(f.worker.incarnation.domain.as_str());
-        f.domain = found.copied().unwrap_or_default();
-    }
-    numbers.len().max(1) as u64
 }
 
 /// Returns the steps that are due, have complete dependencies and have tasks without a worker.
@@ -253,46 +159,129 @@
 }
 
 impl<'a> PlacementPass<'a> {
+    fn place_step(
+        &mut self,
+        decisions: &mut Decisions,
+        waiting: &WaitingStep<'a>,
+        plan: &mut Plan,
+    ) {
+        if self.must_leave_headroom(waiting) {
+            return;
+        }
+        match waiting.queue.policy {
+            Some(policy) => {
+                let decisions = decisions.entry(waiting.id).or_default();
+                if waiting.step.gang {
+                    self.place_ticketed_gang(decisions, waiting, &policy, plan);
+                } else {
+                    self.place_ticketed_tasks(decisions, waiting, &policy, plan);
+                }
+            }
+            None if waiting.step.gang => self.place_gang(waiting, plan),
+            None => {
+                let available = self.available_workers(waiting);
+                self.place_tasks(waiting, &available, plan);
+            }
+        }
+    }
+
+    /// Places the tasks of a step that needs tickets, and queries the policy about further workers.
+    fn place_ticketed_tasks(
+        &mut self,
+        decisions: &mut PolicyDecisions,
+        waiting: &WaitingStep<'a>,
+        policy: &Policy,
+        plan: &mut Plan,
+    ) {
+        let available = self.available_among(waiting, decisions.ticketed(self.now));
+        let unplaced = self.place_tasks(waiting, &available, plan);
+        if unplaced == 0 {
+            return;
+        }
+        if !decisions.queried.is_empty() {
+            self.mark_queried(waiting, &decisions.queried, unplaced);
+            return;
+        }
+        if !decisions.may_query(self.now, plan) {
+            return;
+        }
+        let workers = self.query_candidates(waiting, decisions);
+        self.query_policy(decisions, waiting, workers, policy, plan);
+        self.mark_queried(waiting, &decisions.queried, unplaced);
+    }
+
+    /// Queries the policy whether these workers may run the step.
+    pub(crate) fn query_policy(
+        &self,
+        decisions: &mut PolicyDecisions,
+        waiting: &WaitingStep<'_>,
+        workers: Vec<WorkerIndex>,
+        policy: &Policy,
+        plan: &mut Plan,
+    ) {
+        let capacities = workers.iter().filter_map(|w| self.capacities.get(*w));
+        let names = capacities.map(|c| c.name.to_owned()).collect();
+        decisions.query(waiting.id, workers, names, policy, plan);
+    }
+
     /// Workers whose total capacity suffices for a task of the step, best first.
-    pub(crate) fn eligible_workers(&self, waiting: &WaitingStep<'_>) -> Vec<&'a str> {
-        self.ranked(waiting, |_| true)
+    pub(crate) fn eligible_workers(&self, waiting: &WaitingStep<'_>) -> Vec<WorkerIndex> {
+        self.ranked(waiting, self.pool_workers(waiting), |_| true)
     }
 
     /// Workers with enough free resources for a task of the step, best first.
-    pub(crate) fn available_workers(&self, waiting: &WaitingStep<'_>) -> Vec<&'a str> {
+    pub(crate) fn available_workers(&self, waiting: &WaitingStep<'_>) -> Vec<WorkerIndex> {
+        self.available_among(waiting, self.pool_workers(waiting))
+    }
+
+    /// Those of `workers` with enough free resources for a task of the step, best first.
+    pub(crate) fn available_among(
+        &self,
+        waiting: &WaitingStep<'_>,
+        workers: impl Iterator<Item = WorkerIndex>,
+    ) -> Vec<WorkerIndex> {
         let need = waiting.step.demand();
-        self.ranked(waiting, |f| f.unreserved().fits(&need))
+        self.ranked(waiting, workers, |c| c.unreserved().fits(&need))
+    }
+
+    /// All workers of the step's pool that accept tasks.
+    fn pool_workers(&self, waiting: &WaitingStep<'_>) -> impl Iterator<Item = WorkerIndex> {
+        let pool = self.capacities.pool(&waiting.queue.pool);
+        pool.into_iter().flat_map(|p| p.workers.iter().copied())
     }
 
-    /// Workers that match the requirements of the step and the predicate `pick`, best first.
+    /// Those of `workers` that match the requirements of the step and the predicate `pick`, best
+    /// first.
     fn ranked(
         &self,
         waiting: &WaitingStep<'_>,
+        workers: impl Iterator<Item = WorkerIndex>,
         pick: impl Fn(&WorkerCapacity<'a>) -> bool,
-    ) -> Vec<&'a str> {
+    ) -> Vec<WorkerIndex> {
         let step = waiting.step;
         // Keeping the tasks of a job in one failure domain means that only the loss of that domain
         // delays the job. The first domain depends on the job id, so that jobs use different
         // domains.
-        let domain_offset = waiting.id.job.0 % self.domains;
-        let is_match = |f: &WorkerCapacity<'a>| {
-            let incarnation = &f.worker.incarnation;
-            incarnation.pool == waiting.queue.pool
+        let domains = self.capacities.domains;
+        let domain_offset = waiting.id.job.0 % domains;
+        let rank = |index: WorkerIndex| {
+            let capacity = self.capacities.get(index)?;
+            let incarnation = &capacity.worker.incarnation;
+            let is_match = pick(capacity)
                 && incarnation.resources.fits(&step.resources)
-                && (step.label.is_empty() || incarnation.labels.contains(&step.label))
-                && !(step.best_effort && f.services)
+                && !(step.best_effort && capacity.services)
+                && incarnation.pool == waiting.queue.pool
+                && (step.label.is_empty() || incarnation.labels.contains(&step.label));
+            let data_remote =
+                !step.data_rack.is_empty() && incarnation.rack() != Some(step.data_rack.as_str());
+            let mixed_load = step.is_service() && capacity.best_effort;
+            let domain = (capacity.domain + domain_offset) % domains;
+            let free = (capacity.free.gpu, capacity.free.cpu);
+            is_match.then_some((data_remote, mixed_load, domain, free, index))
         };
-        let rows = self.workers.iter().map(|(name, f)| (*name, f));
-        let mut rows: Vec<(&'a str, &WorkerCapacity<'a>)> =
-            rows.filter(|(_, f)| pick(f) && is_match(f)).collect();
-        rows.sort_by_key(|(_, f)| {
-            let data_remote = !step.data_rack.is_empty()
-                && f.worker.incarnation.rack() != Some(step.data_rack.as_str());
-            let mixed_load = step.is_service() && f.best_effort;
-            let domain = (f.domain + domain_offset) % self.domains;
-            (data_remote, mixed_load, domain, f.free.gpu, f.free.cpu)
-        });
-        rows.into_iter().map(|(name, _)| name).collect()
+        let mut rows: Vec<_> = workers.filter_map(rank).collect();
+        rows.sort_unstable();
+        rows.into_iter().map(|row| row.4).collect()
     }
 
     /// Whether the step must leave the remaining capacity to urgent queues. With this headroom a
@@ -300,39 +289,30 @@
     /// their run time.
     fn must_leave_headroom(&self, waiting: &WaitingStep<'_>) -> bool {
         let queue = waiting.queue;
-        let urgent = |q: &Queue| q.pool == queue.pool && q.priority == URGENT_PRIORITY;
-        if queue.priority < HEADROOM_PRIORITY || !self.state.document.queues.iter().any(urgent) {
+        if queue.priority < HEADROOM_PRIORITY || !self.urgent_pools.contains(queue.pool.as_str()) {
             return false;
         }
-        let pool = self
-            .workers
-            .values()
-            .filter(|f| f.worker.incarnation.pool == queue.pool);
-        let zero = (Resources::default(), Resources::default());
-        let (free, all) = pool.fold(zero, |(free, all), f| {
-            (
-                free.plus(&f.free),
-                all.plus(&f.worker.incarnation.resources),
-            )
-        });
+        let Some(pool) = self.capacities.pool(&queue.pool) else {
+            return false;
+        };
         let below_headroom = |free: u64, all: u64| free * 100 < all * HEADROOM_PERCENT;
-        (waiting.step.resources.gpu > 0 && below_headroom(free.gpu, all.gpu))
-            || below_headroom(free.cpu, all.cpu)
+        (waiting.step.resources.gpu > 0 && below_headroom(pool.free.gpu, pool.total.gpu))
+            || below_headroom(pool.free.cpu, pool.total.cpu)
     }
 
-    fn has_capacity(&self, waiting: &WaitingStep<'_>, name: &str) -> bool {
+    fn has_capacity(&self, waiting: &WaitingStep<'_>, worker: WorkerIndex) -> bool {
         let need = waiting.step.demand();
-        self.workers
-            .get(name)
-            .is_some_and(|f| f.unreserved().fits(&need))
+        self.capacities
+            .get(worker)
+            .is_some_and(|c| c.unreserved().fits(&need))
     }
 
     /// Whether the worker has enough resources for a task that no open query covers.
-    fn has_unqueried_capacity(&self, waiting: &WaitingStep<'_>, name: &str) -> bool {
+    fn has_unqueried_capacity(&self, waiting: &WaitingStep<'_>, worker: WorkerIndex) -> bool {
         let need = waiting.step.demand();
-        self.workers
-            .get(name)
-            .is_some_and(|f| f.unqueried.fits(&need))
+        self.capacities
+            .get(worker)
+            .is_some_and(|c| c.unqueried.fits(&need))
     }
 
     /// Workers to include in a query to the placement policy.
@@ -346,21 +326,21 @@
         &self,
         waiting: &WaitingStep<'_>,
         decisions: &PolicyDecisions,
-    ) -> Vec<&'a str> {
+    ) -> Vec<WorkerIndex> {
         let task_counts = self.tasks_per_worker(waiting);
         let mut eligible_workers = self.eligible_workers(waiting);
         eligible_workers.retain(|w| waiting.step.accepts_more(task_counts.get(w)));
-        let renew = |w: &&&str| {
+        let renew = |w: &WorkerIndex| {
             let renewable =
-                decisions.granted.contains(**w) && decisions.ticket(w, self.now).is_none();
-            renewable && self.has_capacity(waiting, w) && self.has_unqueried_capacity(waiting, w)
+                decisions.granted.contains(w) && decisions.ticket(*w, self.now).is_none();
+            renewable && self.has_capacity(waiting, *w) && self.has_unqueried_capacity(waiting, *w)
         };
-        let mut names: Vec<&str> = eligible_workers.iter().filter(renew).copied().collect();
-        if names.is_empty() {
+        let mut workers: Vec<_> = eligible_workers.iter().copied().filter(renew).collect();
+        if workers.is_empty() {
             return self.undecided_workers(waiting, decisions, eligible_workers);
         }
-        names.truncate(MAX_QUERY_WORKERS);
-        names
+        workers.truncate(MAX_QUERY_WORKERS);
+        workers
     }
 
     /// Those of the eligible workers on which the policy has not decided yet; workers with free
@@ -369,19 +349,24 @@
         &self,
         waiting: &WaitingStep<'_>,
         decisions: &PolicyDecisions,
-        mut names: Vec<&'a str>,
-    ) -> Vec<&'a str> {
-        names.retain(|w| !decisions.granted.contains(*w) && !decisions.denied.contains(*w));
-        names.sort_by_key(|w| !self.has_unqueried_capacity(waiting, w));
-        names.truncate(MAX_QUERY_WORKERS);
-        names
+        mut workers: Vec<WorkerIndex>,
+    ) -> Vec<WorkerIndex> {
+        workers.retain(|w| !decisions.granted.contains(w) && !decisions.denied.contains(w));
+        workers.sort_by_key(|w| !self.has_unqueried_capacity(waiting, *w));
+        workers.truncate(MAX_QUERY_WORKERS);
+        workers
     }
 
     /// Excludes the resources of the queried workers from the queries of later steps.
-    fn mark_queried(&mut self, waiting: &WaitingStep<'_>, names: &[String], unplaced: usize) {
+    fn mark_queried(
+        &mut self,
+        waiting: &WaitingStep<'_>,
+        workers: &[WorkerIndex],
+        unplaced: usize,
+    ) {
         let need = waiting.step.demand();
-        for name in names.iter().take(unplaced) {
-            if let Some(capacity) = self.workers.get_mut(name.as_str()) {
+        for worker in workers.iter().take(unplaced) {
+            if let Some(capacity) = self.capacities.get_mut(*worker) {
                 capacity.unqueried = capacity.unqueried.minus(&need);
             }
         }
@@ -406,29 +391,26 @@
         self.usage.entry(team).or_insert_with(known)
     }
 
-    /// Number of assigned tasks of the step on each worker.
-    fn tasks_per_worker(&self, waiting: &WaitingStep<'_>) -> BTreeMap<&'a str, u32> {
-        let mut count = BTreeMap::new();
+    /// Number of assigned tasks of the step on each worker that has any, for a step that limits it.
+    fn tasks_per_worker(&self, waiting: &WaitingStep<'_>) -> BTreeMap<WorkerIndex, u32> {
+        let mut counts = BTreeMap::new();
         if waiting.step.per_worker > 0 {
-            for (name, capacity) in &self.workers {
-                let same = |(t, _): &&(TaskId, u32)| StepId::from(*t) == waiting.id;
-                let n = capacity.worker.runs.iter().filter(same).count();
-                count.insert(*name, u32::try_from(n).unwrap_or(u32::MAX));
+            let names = waiting.state.tasks.iter().filter_map(|t| t.worker.as_ref());
+            for index in names.filter_map(|name| self.indices.get(name)) {
+                *counts.entry(index).or_default() += 1;
             }
         }
-        count
+        counts
     }
 
-    pub(crate) fn allocate(&mut self, waiting: &WaitingStep<'a>, name: &'a str) {
-        let resources = waiting.step.resources;
-        if let Some(capacity) = self.workers.get_mut(name) {
-            capacity.free = capacity.free.minus(&waiting.step.demand());
-            capacity.unqueried = capacity.unqueried.minus(&waiting.step.demand());
+    pub(crate) fn allocate(&mut self, waiting: &WaitingStep<'a>, worker: WorkerIndex) {
+        self.capacities.take(worker, &waiting.step.demand());
+        if let Some(capacity) = self.capacities.get_mut(worker) {
             capacity.best_effort |= waiting.step.best_effort;
             capacity.services |= waiting.step.is_service();
         }
         let used = self.team_usage(&waiting.job.team);
-        *used = used.plus(&resources);
+        *used = used.plus(&waiting.step.resources);
     }
 
     pub(crate) fn new_start(
@@ -436,9 +418,9 @@
         waiting: &WaitingStep<'_>,
         index: u32,
         run: u32,
-        name: &str,
+        worker: WorkerIndex,
     ) -> Option<Start> {
-        let born = self.workers.get(name)?.worker.incarnation.born;
+        let capacity = self.capacities.get(worker)?;
         Some(Start {
             task: TaskId {
                 job: waiting.id.job,
@@ -447,8 +429,8 @@
                 index,
             },
             run,
-            worker: name.to_owned(),
-            born,
+            worker: capacity.name.to_owned(),
+            born: capacity.worker.incarnation.born,
         })
     }
 
@@ -456,9 +438,15 @@
     fn place_tasks(
         &mut self,
         waiting: &WaitingStep<'a>,
-        available: &[&'a str],
+        available: &[WorkerIndex],
         plan: &mut Plan,
     ) -> usize {
+        if available.is_empty() {
+            return match self.within_team_limit(waiting, 1) {
+                true => waiting.state.waiting(),
+                false => 0,
+            };
+        }
         let mut task_counts = self.tasks_per_worker(waiting);
         let mut unplaced = 0;
         for (index, task) in (0..).zip(&waiting.state.tasks) {
@@ -468,25 +456,21 @@
             if !self.within_team_limit(waiting, 1) {
                 return 0;
             }
-            let fits = |name: &&&'a str| {
-                self.has_capacity(waiting, name)
-                    && waiting.step.accepts_more(task_counts.get(**name))
+            let fits = |w: &WorkerIndex| {
+                self.has_capacity(waiting, *w) && waiting.step.accepts_more(task_counts.get(w))
             };
             // A worker on which the task failed before is used only if there is no other.
-            let failed_here = |name: &&&'a str| task.failed_on == ***name;
-            let chosen = available
-                .iter()
-                .filter(fits)
-                .min_by_key(|n| failed_here(n))
-                .copied();
-            let Some(name) = chosen else {
+            let failed_on = self.indices.get(&task.failed_on);
+            let mut candidates = available.iter().copied().filter(fits);
+            let preferred = candidates.clone().find(|w| Some(*w) != failed_on);
+            let Some(worker) = preferred.or_else(|| candidates.next()) else {
                 unplaced += 1;
                 continue;
             };
-            if let Some(start) = self.new_start(waiting, index, task.run + 1, name) {
+            if let Some(start) = self.new_start(waiting, index, task.run + 1, worker) {
                 plan.starts.push(start);
-                *task_counts.entry(name).or_default() += 1;
-                self.allocate(waiting, name);
+                *task_counts.entry(worker).or_default() += 1;
+                self.allocate(waiting, worker);
             }
         }
         unplaced
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -10,6 +10,7 @@
 use crate::Incarnation;
 use crate::Step;
 use crate::TaskId;
+use crate::worker_index::WorkerIndex;
 
 /// Maximum share, in percent, by which a worker's clock may run slow.
 const MAX_CLOCK_LAG_PERCENT: u64 = 2;
@@ -104,6 +105,8 @@
 /// The leader's view of one worker incarnation.
 #[derive(Debug)]
 pub(crate) struct WorkerView {
+    /// Number of the worker.
+    pub(crate) index: WorkerIndex,
     pub(crate) born: i64,
     /// Fencing token for the next orders.
     pub(crate) fence: u64,
@@ -141,8 +144,15 @@
 impl WorkerView {
     /// Creates the view of an incarnation on which leases of earlier leaders last until
     /// `inherited_until`.
-    pub(crate) fn new(born: i64, fence: u64, now: Time, inherited_until: Time) -> Self {
+    pub(crate) fn new(
+        index: WorkerIndex,
+        born: i64,
+        fence: u64,
+        now: Time,
+        inherited_until: Time,
+    ) -> Self {
         Self {
+            index,
             born,
             fence,
             confirmed_fence: 0,
