--- a/crates/zinnia-control/src/leader.rs
+++ b/crates/zinnia-control/src/leader.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio::sync::mpsc;
 use zinnia_plan::Batch;
@@ -28,6 +29,9 @@
 const MAX_PASS_INTERVAL: Duration = Duration::from_millis(50);
 /// Minimum interval between two planning passes, so that one pass covers several events.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(5);
+/// Pause after a planning pass as a multiple of its duration. With a long backlog a pass takes long,
+/// and requests and the answers of workers must not wait behind one pass after the other.
+const PASS_PAUSE_FACTOR: u32 = 4;
 /// Timeout of the leader's own proposals; the loss of leadership ends the wait earlier.
 const PROPOSE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Policy time of open queries, in milliseconds, above which a process gets no further query.
@@ -77,13 +81,21 @@
         while let Ok(order) = start_orders.try_recv() {
             send_start(&context, &transport, order);
         }
+        let started = Instant::now();
         if let Some(plan) = plan_once(&context, &starts_pending) {
+            let took = started.elapsed();
+            metrics::histogram!("zinnia_plan_pass_ms").record(took.as_secs_f64() * 1e3);
             execute_plan(&context, &transport, plan, &starts_pending);
-            tokio::time::sleep(MIN_PASS_INTERVAL).await;
+            tokio::time::sleep(pause_after_pass(took)).await;
         }
     }
 }
 
+/// Returns how long the loop pauses after a planning pass that took `took`.
+fn pause_after_pass(took: Duration) -> Duration {
+    (took * PASS_PAUSE_FACTOR).clamp(MIN_PASS_INTERVAL, MAX_PASS_INTERVAL)
+}
+
 /// Runs one planning pass; `None` if this process is not the leader.
 fn plan_once(context: &Arc<MemberContext>, starts_pending: &AtomicBool) -> Option<Plan> {
     let term = context.leading_term()?;
