control: run the connections of a member on a thread of their own

Cause: one thread ran planning, requests, calls to workers and the connections between processes. While it was busy for more than the election timeout, a leader got no answers of its quorum and stepped down, and its successor had the same backlog and more.

Change: a member runs its peer connections on a runtime with its own thread; messages of the log go from there to the log thread, and a hello is answered there. Requests are handled on the main thread as before. Links spawn their connections on the runtime that created them.

--- a/crates/zinnia-control/src/lib.rs
+++ b/crates/zinnia-control/src/lib.rs
@@ -10,6 +10,7 @@
 mod log_hooks;
 mod member;
 mod message;
+mod peer_runtime;
 mod process;
 mod requests;
 mod settings;
--- a/crates/zinnia-control/src/member.rs
+++ b/crates/zinnia-control/src/member.rs
@@ -10,6 +10,7 @@
 use anyhow::Context;
 use anyhow::Result;
 use serde_json::Value;
+use tokio::runtime::Handle;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use zinnia_peer::Links;
@@ -50,7 +51,12 @@
 
 impl Member {
     /// Opens the store and starts the member's asynchronous tasks.
-    pub(crate) fn start(settings: &Settings, transport: &Transport) -> Result<Self> {
+    /// The connections to other members run on `peers`.
+    pub(crate) fn start(
+        settings: &Settings,
+        transport: &Transport,
+        peers: &Handle,
+    ) -> Result<Self> {
         let dir = settings
             .data_dir
             .as_ref()
@@ -78,7 +84,10 @@
             entries = recovered.entries.len(), commit = recovered.hard.commit, "store opened"
         );
         let (start_orders, order_receiver) = mpsc::unbounded_channel();
-        let links = Links::new(settings.link_settings()?, id);
+        let links = {
+            let _guard = peers.enter();
+            Links::new(settings.link_settings()?, id)
+        };
         let context = Arc::new(MemberContext {
             settings: settings.clone(),
             id,
@@ -86,7 +95,6 @@
             replica: OnceLock::new(),
             links,
             ready_term: AtomicU64::new(0),
-            runtime: tokio::runtime::Handle::current(),
             plan_wakeup: Notify::new(),
             job_progress: Notify::new(),
             start_orders,
