--- a/crates/zinnia-control/src/context.rs
+++ b/crates/zinnia-control/src/context.rs
@@ -1,6 +1,7 @@
 //! State that a member shares between its asynchronous tasks and the log thread.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
@@ -19,6 +20,7 @@
 use zinnia_raft::Role;
 use zinnia_replica::Replica;
 use zinnia_replica::clock;
+use zinnia_types::JobId;
 use zinnia_types::Time;
 use zinnia_types::VmId;
 
@@ -29,6 +31,8 @@
 pub(crate) struct CellState {
     pub(crate) state: State,
     pub(crate) leader: Option<Leader>,
+    /// Jobs whose submission was proposed in this term and has no outcome yet.
+    pub(crate) open_submits: BTreeSet<JobId>,
     /// Processes that can query the placement policy, by peer address.
     pub(crate) policy_clients: BTreeMap<String, PolicyClient>,
 }
--- a/crates/zinnia-control/src/log_hooks.rs
+++ b/crates/zinnia-control/src/log_hooks.rs
@@ -62,7 +62,9 @@
             let leader = leader.map(|l| l.to_string());
             tracing::info!(event = "role", ?role, term, leader, "raft role changed");
             if role != Role::Leader {
-                context.cell_state().leader = None;
+                let mut cell = context.cell_state();
+                cell.leader = None;
+                cell.open_submits.clear();
             }
             context.plan_wakeup.notify_one();
         }),
--- a/crates/zinnia-control/src/process.rs
+++ b/crates/zinnia-control/src/process.rs
@@ -17,6 +17,7 @@
 use zinnia_types::Code;
 use zinnia_types::ErrorBody;
 use zinnia_types::JobId;
+use zinnia_types::Time;
 use zinnia_types::VmId;
 
 use crate::Gateway;
@@ -142,6 +143,7 @@
                 }
             }
         }
+        let received = clock::now();
         let Self {
             context,
             transport,
@@ -155,7 +157,7 @@
                     encode(&handle_hello(&context, vm, &hello))
                 }
                 (_, context) => main
-                    .spawn(handle(context, transport, method, value))
+                    .spawn(handle(context, transport, method, value, received))
                     .await
                     .map_err(|e| ErrorBody::new(Code::Internal, "handle", e.to_string()))?,
             }
@@ -169,6 +171,7 @@
     transport: Transport,
     method: String,
     value: Box<RawValue>,
+    received: Time,
 ) -> Result<Value, ErrorBody> {
     match (method.as_str(), context) {
         ("advise", _) => {
@@ -177,8 +180,10 @@
             encode(&(transport.query_policy)((step, workers)).await)
         }
         ("ask", Some(context)) => {
+            let waited_ms = clock::now().since(received);
+            metrics::histogram!("zinnia_request_wait_ms").record(waited_ms as f64);
             let request: Request = decode(&value)?;
-            encode(&context.handle(request).await)
+            encode(&context.handle(request, waited_ms).await)
         }
         _ => {
             let why = format!("this process does not handle the method {method}");
--- a/crates/zinnia-control/src/requests.rs
+++ b/crates/zinnia-control/src/requests.rs
@@ -2,9 +2,17 @@
 
 use std::time::Duration;
 
+use zinnia_plan::Backlog;
 use zinnia_plan::Job;
+use zinnia_plan::JobSpec;
+use zinnia_plan::Leader;
+use zinnia_plan::Load;
+use zinnia_plan::Queue;
 use zinnia_plan::Record;
+use zinnia_plan::Refusal;
 use zinnia_plan::Reply;
+use zinnia_plan::is_abandoned;
+use zinnia_plan::refuse_job;
 use zinnia_replica::ProposalOutcome;
 use zinnia_replica::clock;
 use zinnia_types::JobId;
@@ -13,6 +21,7 @@
 use crate::CallerAction;
 use crate::CallerRequest;
 use crate::Request;
+use crate::context::CellState;
 use crate::context::MemberContext;
 use crate::leader::propose;
 
@@ -28,17 +37,22 @@
 }
 
 impl MemberContext {
-    /// Handles a request, or names the leader if this process is not the leader.
-    pub(crate) async fn handle(&self, request: Request) -> Answer {
+    /// Handles a request that waited `waited_ms` for the main thread, or names the leader if this
+    /// process is not the leader.
+    pub(crate) async fn handle(&self, request: Request, waited_ms: u64) -> Answer {
         if !self.is_leader() {
             return Answer::Elsewhere(self.leader().map(|(peer, _)| peer));
         }
         match request {
             Request::Caller(request) => {
+                if is_abandoned(request.left_ms, waited_ms) {
+                    metrics::counter!("zinnia_abandoned_total").increment(1);
+                    return Answer::Busy(RETRY_AFTER_MS);
+                }
                 if request.action == CallerAction::Get {
                     self.wait_for_end(&request).await;
                 }
-                match self.decide(request) {
+                match self.decide(request, waited_ms) {
                     Decision::Answer(answer) => self.confirm_leader(answer),
                     Decision::Record(record) => self.commit(vec![record]).await,
                 }
@@ -129,7 +143,7 @@
         // Requests without access to the job must be answered at once, since the delay would reveal
         // its state.
         let allowed = |decision| matches!(decision, Decision::Answer(Answer::Job { .. }));
-        if !may_end() || !allowed(self.decide(request.clone())) {
+        if !may_end() || !allowed(self.decide(request.clone(), 0)) {
             return;
         }
         let limit = Duration::from_millis(self.settings.read_wait_ms);
@@ -159,7 +173,7 @@
         }
     }
 
-    fn decide(&self, request: CallerRequest) -> Decision {
+    fn decide(&self, request: CallerRequest, waited_ms: u64) -> Decision {
         let cell = self.cell_state();
         let state = &cell.state;
         let document = &state.document;
@@ -182,15 +196,24 @@
             return Decision::Answer(Answer::NoQueue);
         };
         match request.action {
-            CallerAction::Submit(Ok(spec)) => match spec.find_error() {
-                Some(why) => Decision::Answer(Answer::Invalid(why)),
-                None => Decision::Record(Record::Submit {
+            CallerAction::Submit(Ok(spec)) => {
+                if let Some(why) = spec.find_error() {
+                    return Decision::Answer(Answer::Invalid(why));
+                }
+                // A repeated request for a job that is or may become accepted is never refused.
+                let is_new = !state.jobs.contains_key(&id) && !cell.open_submits.contains(&id);
+                if is_new && let Some(refusal) = self.refuse(&cell, queue, &team, &spec, waited_ms)
+                {
+                    log_refusal(id, &queue.name, &team, waited_ms, refusal);
+                    return Decision::Answer(Answer::Busy(refusal.retry_after_ms));
+                }
+                Decision::Record(Record::Submit {
                     id,
                     queue: queue.name.clone(),
                     team,
                     spec,
-                }),
-            },
+                })
+            }
             CallerAction::Submit(Err(why)) => Decision::Answer(Answer::Invalid(why)),
             CallerAction::Cancel if !state.jobs.contains_key(&id) => Decision::Answer(Answer::Gone),
             CallerAction::Cancel => Decision::Record(Record::Cancel(id)),
@@ -204,6 +227,26 @@
         }
     }
 
+    /// Returns why a new job is refused, if it is.
+    fn refuse(
+        &self,
+        cell: &CellState,
+        queue: &Queue,
+        team: &str,
+        spec: &JobSpec,
+        waited_ms: u64,
+    ) -> Option<Refusal> {
+        let none = Backlog::default();
+        let backlog = cell.leader.as_ref().map_or(&none, Leader::backlog);
+        let load = Load {
+            waited_ms,
+            live_jobs: cell.state.live.len(),
+            backlog,
+        };
+        let document = &cell.state.document;
+        refuse_job(&self.settings.admission, load, document, queue, team, spec)
+    }
+
     /// Proposes the records and returns the answer for the first one.
     async fn commit(&self, records: Vec<Record>) -> Answer {
         let id = match records.first() {
@@ -213,7 +256,17 @@
             Some(Record::Cancel(id)) => Some(("cancel", *id, String::new(), String::new())),
             _ => None,
         };
+        let submitted = match records.first() {
+            Some(Record::Submit { id, .. }) => Some(*id),
+            _ => None,
+        };
+        if let Some(id) = submitted {
+            self.cell_state().open_submits.insert(id);
+        }
         let verdict = propose(self, records, COMMIT_TIMEOUT).await;
+        if let Some(id) = submitted.filter(|_| verdict.is_some()) {
+            self.cell_state().open_submits.remove(&id);
+        }
         let answer = match verdict {
             Some(ProposalOutcome::Applied { reply, .. }) => {
                 match reply.and_then(|r| r.into_iter().next()) {
@@ -236,6 +289,15 @@
     }
 }
 
+fn log_refusal(id: JobId, queue: &str, team: &str, waited_ms: u64, refusal: Refusal) {
+    let reason = refusal.reason.name();
+    metrics::counter!("zinnia_refusals_total", "reason" => reason).increment(1);
+    tracing::info!(
+        event = "refuse", job = %id, queue, team, reason, waited_ms,
+        retry_ms = refusal.retry_after_ms, "job refused; it was not accepted"
+    );
+}
+
 /// Parses the job id that follows a queue's prefix: 16 hexadecimal digits in lower case.
 fn job_id(text: &str) -> Option<JobId> {
     let id: JobId = text.parse().ok()?;
--- a/crates/zinnia-control/src/settings.rs
+++ b/crates/zinnia-control/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use zinnia_plan::AdmissionSettings;
 use zinnia_types::VmId;
 
 /// Settings of a process.
@@ -35,6 +36,8 @@
     pub replace_ms: u64,
     /// Maximum delay of a read of a job that may end soon.
     pub read_wait_ms: u64,
+    /// Limits of what the leader takes in.
+    pub admission: AdmissionSettings,
     /// Settings of the leader's decisions.
     pub plan: zinnia_plan::Settings,
 }
@@ -55,6 +58,7 @@
             compact_entries: 4_000,
             replace_ms: 4_000,
             read_wait_ms: 150,
+            admission: AdmissionSettings::default(),
             plan: zinnia_plan::Settings::default(),
         }
     }
--- /dev/null
+++ b/crates/zinnia-plan/src/admission.rs
@@ -0,0 +1,116 @@
+//! Decides whether the leader takes in a request.
+//!
+//! The decisions answer two kinds of load: requests that arrive faster than the leader can handle
+//! them, as in a burst of callers or after a change of the leader, and jobs that exceed the capacity
+//! of the workers for so long that they would be of no use when they end.
+
+use crate::Backlog;
+use crate::Document;
+use crate::JobSpec;
+use crate::Queue;
+
+/// Limits of what the leader takes in.
+#[derive(Clone, Debug)]
+pub struct AdmissionSettings {
+    /// Time in milliseconds that a request may wait for the leader's main thread before new jobs are
+    /// refused.
+    pub max_wait_ms: u64,
+    /// Jobs that have not ended above which new jobs are refused.
+    pub max_live_jobs: usize,
+    /// Shortest and longest delay in milliseconds after which a refused caller may try again.
+    pub retry_after_ms: (u64, u64),
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self {
+            max_wait_ms: 500,
+            max_live_jobs: 10_000,
+            retry_after_ms: (1_000, 30_000),
+        }
+    }
+}
+
+/// Load of the leader when it decides on a new job.
+#[derive(Clone, Copy, Debug)]
+pub struct Load<'a> {
+    /// Time in milliseconds that the request waited for the main thread.
+    pub waited_ms: u64,
+    /// Number of jobs that have not ended.
+    pub live_jobs: usize,
+    /// Work that waits in front of the workers.
+    pub backlog: &'a Backlog,
+}
+
+/// Why a new job is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// The leader is behind with its requests.
+    LeaderBusy,
+    /// There are too many jobs that have not ended.
+    TooManyJobs,
+    /// The job would end too late to be of use.
+    Backlog,
+}
+
+impl RefusalReason {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::LeaderBusy => "leader_busy",
+            Self::TooManyJobs => "too_many_jobs",
+            Self::Backlog => "backlog",
+        }
+    }
+}
+
+/// Refusal of a new job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why the job is refused.
+    pub reason: RefusalReason,
+    /// When the caller may try again.
+    pub retry_after_ms: u64,
+}
+
+/// Whether the caller of a request has stopped waiting, so that any work on it is lost.
+pub fn is_abandoned(left_ms: Option<u64>, waited_ms: u64) -> bool {
+    left_ms.is_some_and(|left| waited_ms >= left)
+}
+
+/// Returns why a new job is refused, or `None` to accept it.
+pub fn refuse_job(
+    settings: &AdmissionSettings,
+    load: Load<'_>,
+    document: &Document,
+    queue: &Queue,
+    team: &str,
+    spec: &JobSpec,
+) -> Option<Refusal> {
+    let (min_ms, max_ms) = settings.retry_after_ms;
+    let refusal = |reason, retry_after_ms: u64| {
+        Some(Refusal {
+            reason,
+            retry_after_ms: retry_after_ms.clamp(min_ms, max_ms),
+        })
+    };
+    if load.waited_ms > settings.max_wait_ms {
+        return refusal(RefusalReason::LeaderBusy, load.waited_ms);
+    }
+    if load.live_jobs >= settings.max_live_jobs {
+        return refusal(RefusalReason::TooManyJobs, min_ms);
+    }
+    let wait_limit_ms = wait_limit_ms(queue, spec);
+    let wait_ms = load.backlog.wait_ms(document, queue, team);
+    if wait_ms > wait_limit_ms {
+        return refusal(RefusalReason::Backlog, wait_ms - wait_limit_ms);
+    }
+    None
+}
+
+/// Longest estimated wait with which a job is accepted: half of the time that it may wait before it
+/// expires. Run times are rough estimates, some runs fail and are repeated, and running tasks delay
+/// the first starts.
+fn wait_limit_ms(queue: &Queue, spec: &JobSpec) -> u64 {
+    queue.expiry_ms(spec).saturating_sub(spec.estimate_ms()) / 2
+}
--- a/crates/zinnia-plan/src/document.rs
+++ b/crates/zinnia-plan/src/document.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::JobSpec;
 use crate::Resources;
 
 /// One version of the cell configuration.
@@ -32,8 +33,9 @@
     pub prefix: String,
     /// Longest time that a request to the queue may take.
     pub timeout_ms: u64,
-    /// Target for the time that a job takes beyond the run time of its tasks.
-    pub objective_ms: u64,
+    /// Time that a job may take in addition to its slowed-down run time.
+    #[serde(rename = "objective_ms")]
+    pub allowance_ms: u64,
     /// Scheduling priority; 0 is the highest.
     pub priority: u32,
     /// Name of the pool whose workers run the jobs of the queue.
@@ -49,6 +51,34 @@
     pub public: bool,
 }
 
+impl Queue {
+    /// Multiple of its objective after which the end of a job is of no use to its caller.
+    const EXPIRY_FACTOR: u64 = 3;
+
+    /// Time from its acceptance in which a job is to end.
+    pub fn objective_ms(&self, spec: &JobSpec) -> u64 {
+        // Per mille, since the run time is an integer.
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the slowdown is a small positive factor"
+        )]
+        let slowdown = (self.max_slowdown.max(1.0) * 1e3) as u64;
+        let run_ms = spec.estimate_ms().saturating_mul(slowdown) / 1_000;
+        run_ms.saturating_add(self.allowance_ms)
+    }
+
+    /// Time from its acceptance after which the end of a job is of no use to its caller. Jobs that
+    /// run repeatedly or until they are cancelled never expire.
+    pub fn expiry_ms(&self, spec: &JobSpec) -> u64 {
+        let expires = spec.repeat.is_none() && !spec.steps.iter().any(|s| s.long_running);
+        match expires {
+            true => self.objective_ms(spec).saturating_mul(Self::EXPIRY_FACTOR),
+            false => u64::MAX,
+        }
+    }
+}
+
 /// Cost of a query to the external placement policy, and validity of its tickets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Policy {
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -4,6 +4,7 @@
 
 use zinnia_types::Time;
 
+use crate::Backlog;
 use crate::Heartbeat;
 use crate::Plan;
 use crate::PolicyQuery;
@@ -38,6 +39,9 @@
     pub(crate) views: BTreeMap<String, WorkerView>,
     pub(crate) indices: WorkerIndices,
     pub(crate) decisions: Decisions,
+    /// Work that waits, as of `backlog_at`.
+    backlog: Backlog,
+    backlog_at: Option<Time>,
     /// When all workers and runs were last checked.
     last_check: Option<Time>,
 }
@@ -45,6 +49,8 @@
 /// Interval between two checks of all workers and runs, which find new workers, expired leases and
 /// runs to be stopped.
 const CHECK_INTERVAL_MS: u64 = 50;
+/// Interval between two estimates of the waiting work.
+const BACKLOG_INTERVAL_MS: u64 = 200;
 /// Longest time in which an order without an answer may still be carried out.
 const MAX_ORDER_DELAY_MS: u64 = 12_000;
 /// Number of fencing tokens that one term may use for a worker.
@@ -60,6 +66,8 @@
             views: BTreeMap::new(),
             indices: WorkerIndices::default(),
             decisions: BTreeMap::new(),
+            backlog: Backlog::default(),
+            backlog_at: None,
             last_check: None,
         }
     }
@@ -366,6 +374,11 @@
             self.decisions
                 .retain(|step, _| state.live.contains(&step.job));
         }
+        let is_due = |at: Time| now.since(at) >= BACKLOG_INTERVAL_MS;
+        if self.backlog_at.is_none_or(is_due) {
+            self.backlog_at = Some(now);
+            self.backlog = Backlog::new(state, wall_ms);
+        }
         self.poll_workers(state, now, &mut plan);
         if starts {
             self.place(state, now, wall_ms, &mut plan);
@@ -373,6 +386,11 @@
         plan
     }
 
+    /// Latest estimate of the waiting work.
+    pub fn backlog(&self) -> &Backlog {
+        &self.backlog
+    }
+
     /// Creates the view of each new incarnation in the state, and drops the views of ended ones.
     fn update_views(&mut self, state: &State, now: Time) {
         for (name, worker) in &state.workers {
--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -6,6 +6,8 @@
 //! proposes records and requests orders, polls and policy queries. Neither accesses a clock, a file
 //! or a socket.
 
+mod admission;
+mod backlog;
 mod capacity;
 mod document;
 mod gang;
@@ -20,6 +22,13 @@
 mod worker_index;
 mod worker_view;
 
+pub use admission::AdmissionSettings;
+pub use admission::Load;
+pub use admission::Refusal;
+pub use admission::RefusalReason;
+pub use admission::is_abandoned;
+pub use admission::refuse_job;
+pub use backlog::Backlog;
 pub use document::Document;
 pub use document::DocumentError;
 pub use document::Policy;
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -40,6 +40,8 @@
     pub(crate) step: &'a Step,
     pub(crate) state: &'a StepState,
     pub(crate) queue: &'a Queue,
+    /// Whether the job would end too late to be of use.
+    expired: bool,
 }
 
 /// Decisions of the placement policy about the steps of live jobs.
@@ -60,13 +62,14 @@
 }
 
 impl Leader {
-    /// Plans starts for waiting tasks, ordered by queue priority and job age.
+    /// Plans starts for waiting tasks, ordered by queue priority and job age. Within a priority, jobs
+    /// that can still end in time go before those that have expired.
     pub(crate) fn place(&mut self, state: &State, now: Time, wall_ms: i64, plan: &mut Plan) {
         let mut waiting = waiting_steps(state, wall_ms);
         if waiting.is_empty() {
             return;
         }
-        waiting.sort_by_key(|d| (d.queue.priority, d.job.accepted_ms, d.id));
+        waiting.sort_by_key(|d| (d.queue.priority, d.expired, d.job.accepted_ms, d.id));
         let capacities = self.worker_capacities(state, now);
         let queues = state.document.queues.iter();
         let urgent = queues.filter(|q| q.priority == URGENT_PRIORITY);
@@ -141,6 +144,7 @@
                 if step.gang && tasks.assigned > 0 {
                     continue;
                 }
+                let age_ms = u64::try_from(wall_ms - job.due_ms(r)).unwrap_or(0);
                 steps_waiting.push(WaitingStep {
                     id: StepId {
                         job: *id,
@@ -151,6 +155,7 @@
                     step,
                     state: tasks,
                     queue,
+                    expired: age_ms > queue.expiry_ms(&job.spec),
                 });
             }
         }
--- a/crates/zinnia-plan/src/spec.rs
+++ b/crates/zinnia-plan/src/spec.rs
@@ -161,6 +161,17 @@
     /// Maximum number of tasks of a job over all rounds.
     const MAX_TASKS: u64 = 100_000;
 
+    /// Estimated run time of the longest chain of dependent steps.
+    pub fn estimate_ms(&self) -> u64 {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let ready = step.depends_on.iter().filter_map(|&d| ends.get(d)).max();
+            let end = ready.copied().unwrap_or(0).saturating_add(step.estimate_ms);
+            ends.push(end);
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
     /// Returns why the job cannot run as described, or `None` if it can.
     pub fn find_error(&self) -> Option<String> {
         if self.steps.is_empty() {
--- a/crates/zinnia-plan/tests/common/mod.rs
+++ b/crates/zinnia-plan/tests/common/mod.rs
@@ -82,7 +82,7 @@
         host: "a.example".to_owned(),
         prefix: "/q/".to_owned(),
         timeout_ms: 3_000,
-        objective_ms: 250,
+        allowance_ms: 250,
         pool: "desk".to_owned(),
         max_attempts: 2,
         max_slowdown: 1.5,
