--- a/crates/zinnia-plan/src/backlog.rs
+++ b/crates/zinnia-plan/src/backlog.rs
@@ -39,8 +39,8 @@
 pub struct Backlog {
     /// By pool and priority of the queue.
     pools: BTreeMap<String, BTreeMap<u32, Work>>,
-    /// By team.
-    teams: BTreeMap<String, Work>,
+    /// By team and priority of the queue.
+    teams: BTreeMap<String, BTreeMap<u32, Work>>,
     /// Capacity of the workers of each pool that accept tasks.
     capacities: BTreeMap<String, Resources>,
 }
@@ -66,7 +66,8 @@
     fn add_job(&mut self, job: &Job, queue: &Queue, wall_ms: i64) {
         let by_priority = self.pools.entry(queue.pool.clone()).or_default();
         let pool_work = by_priority.entry(queue.priority).or_default();
-        let team_work = self.teams.entry(job.team.clone()).or_default();
+        let by_priority = self.teams.entry(job.team.clone()).or_default();
+        let team_work = by_priority.entry(queue.priority).or_default();
         let due = (0..)
             .zip(&job.rounds)
             .filter(|(r, _)| job.due_ms(*r) <= wall_ms);
@@ -82,25 +83,25 @@
     }
 
     /// Estimated time until the workers have started everything that goes before a new job of this
-    /// queue and team: the work of queues of the same or higher priority, and the work of the team
-    /// within its limit.
+    /// queue and team: the work of queues of the same or higher priority, of all teams within the
+    /// capacity of the pool, and of this team within its limit.
     pub fn wait_ms(&self, document: &Document, queue: &Queue, team: &str) -> u64 {
-        let mut ahead = 0;
-        if let Some(by_priority) = self.pools.get(&queue.pool) {
-            let capacity = self
-                .capacities
-                .get(&queue.pool)
-                .copied()
-                .unwrap_or_default();
-            let urgent_first = by_priority.range(..=queue.priority);
-            ahead = urgent_first
-                .map(|(_, work)| work.duration_ms(&capacity))
-                .sum();
-        }
-        let own = match (document.team(team), self.teams.get(team)) {
-            (Some(team), Some(work)) => work.duration_ms(&team.cap),
-            _ => 0,
+        let ahead = |by_priority: Option<&BTreeMap<u32, Work>>, capacity: &Resources| {
+            let goes_before = by_priority
+                .into_iter()
+                .flat_map(|p| p.range(..=queue.priority));
+            goes_before
+                .map(|(_, work)| work.duration_ms(capacity))
+                .sum()
         };
-        ahead.max(own)
+        let capacity = self
+            .capacities
+            .get(&queue.pool)
+            .copied()
+            .unwrap_or_default();
+        let of_all: u64 = ahead(self.pools.get(&queue.pool), &capacity);
+        let cap = document.team(team).map(|t| t.cap).unwrap_or_default();
+        let of_team: u64 = ahead(self.teams.get(team), &cap);
+        of_all.max(of_team)
     }
 }
