--- a/crates/zinnia-control/src/context.rs
+++ b/crates/zinnia-control/src/context.rs
@@ -71,6 +71,7 @@
     pub(crate) cell: Mutex<CellState>,
     pub(crate) replica: OnceLock<Replica<Vec<Reply>>>,
     pub(crate) links: Links,
+    pub(crate) runtime: tokio::runtime::Handle,
     /// Latest term in which this process was ready to lead.
     pub(crate) ready_term: AtomicU64,
     /// Wakes the planning loop of the leader.
--- a/crates/zinnia-control/src/lib.rs
+++ b/crates/zinnia-control/src/lib.rs
@@ -10,7 +10,6 @@
 mod log_hooks;
 mod member;
 mod message;
-mod peer_runtime;
 mod process;
 mod requests;
 mod settings;
--- a/crates/zinnia-control/src/log_hooks.rs
+++ b/crates/zinnia-control/src/log_hooks.rs
@@ -42,6 +42,7 @@
                 return;
             };
             if let Some(addr) = context.address(to) {
+                let _guard = context.runtime.enter();
                 context.links.notify(&addr, "raft", &message);
             }
         }),
--- a/crates/zinnia-control/src/member.rs
+++ b/crates/zinnia-control/src/member.rs
@@ -10,7 +10,6 @@
 use anyhow::Context;
 use anyhow::Result;
 use serde_json::Value;
-use tokio::runtime::Handle;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use zinnia_peer::Links;
@@ -51,12 +50,7 @@
 
 impl Member {
     /// Opens the store and starts the member's asynchronous tasks.
-    /// The connections to other members run on `peers`.
-    pub(crate) fn start(
-        settings: &Settings,
-        transport: &Transport,
-        peers: &Handle,
-    ) -> Result<Self> {
+    pub(crate) fn start(settings: &Settings, transport: &Transport) -> Result<Self> {
         let dir = settings
             .data_dir
             .as_ref()
@@ -84,10 +78,7 @@
             entries = recovered.entries.len(), commit = recovered.hard.commit, "store opened"
         );
         let (start_orders, order_receiver) = mpsc::unbounded_channel();
-        let links = {
-            let _guard = peers.enter();
-            Links::new(settings.link_settings()?, id)
-        };
+        let links = Links::new(settings.link_settings()?, id);
         let context = Arc::new(MemberContext {
             settings: settings.clone(),
             id,
@@ -95,6 +86,7 @@
             replica: OnceLock::new(),
             links,
             ready_term: AtomicU64::new(0),
+            runtime: tokio::runtime::Handle::current(),
             plan_wakeup: Notify::new(),
             job_progress: Notify::new(),
             start_orders,
--- a/crates/zinnia-control/src/message.rs
+++ b/crates/zinnia-control/src/message.rs
@@ -1,7 +1,5 @@
 //! Requests to the leader and their answers.
 
-use std::time::Duration;
-
 use serde::Deserialize;
 use serde::Serialize;
 use zinnia_plan::Document;
@@ -21,10 +19,6 @@
     /// Requested action.
     #[serde(rename = "view")]
     pub action: CallerAction,
-    /// Milliseconds that the caller still waits for the answer; `None` if unknown, as from processes
-    /// of earlier versions.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub left_ms: Option<u64>,
 }
 
 /// Action that a caller requests.
@@ -77,15 +71,6 @@
         }
     }
 
-    /// Returns the request with the time that its caller still waits.
-    pub(crate) fn with_time_left(&self, left: Duration) -> Self {
-        let mut request = self.clone();
-        if let Self::Caller(request) = &mut request {
-            request.left_ms = u64::try_from(left.as_millis()).ok();
-        }
-        request
-    }
-
     /// Returns the answer for the caller. `maybe_applied` tells whether an earlier attempt may have
     /// been carried out. In that case a refusal of a later attempt does not show that the request
     /// had no effect: the earlier attempt may have been accepted under the document of that time.
--- a/crates/zinnia-control/src/process.rs
+++ b/crates/zinnia-control/src/process.rs
@@ -9,7 +9,6 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use serde_json::value::RawValue;
-use tokio::runtime::Handle;
 use zinnia_peer::Links;
 use zinnia_peer::Server;
 use zinnia_plan::StepId;
@@ -17,7 +16,6 @@
 use zinnia_types::Code;
 use zinnia_types::ErrorBody;
 use zinnia_types::JobId;
-use zinnia_types::Time;
 use zinnia_types::VmId;
 
 use crate::Gateway;
@@ -29,7 +27,6 @@
 use crate::context::PolicyClient;
 use crate::message::Hello;
 use crate::message::HelloReply;
-use crate::peer_runtime::PeerRuntime;
 
 /// A running process of the cell.
 pub struct Process {
@@ -38,7 +35,6 @@
     /// The member of the log, if the process is one.
     pub member: Option<Member>,
     _server: Server,
-    _peer_runtime: Option<PeerRuntime>,
 }
 
 impl Process {
@@ -49,12 +45,8 @@
     /// Fails if the data folder or the peer address cannot be used.
     pub async fn start(settings: Settings, transport: Transport) -> Result<Self> {
         let links = settings.link_settings()?;
-        let peer_runtime = match &settings.data_dir {
-            Some(_) => Some(PeerRuntime::start().context("cannot start the thread for peers")?),
-            None => None,
-        };
-        let member = match &peer_runtime {
-            Some(peers) => Some(Member::start(&settings, &transport, &peers.handle)?),
+        let member = match &settings.data_dir {
+            Some(_) => Some(Member::start(&settings, &transport)?),
             None => None,
         };
         let context = member.as_ref().map(|m| Arc::clone(&m.context));
@@ -76,30 +68,18 @@
             settings.seeds.clone(),
             context.clone(),
         ));
-        let main = Handle::current();
-        let peers = peer_runtime.as_ref().map_or(&main, |p| &p.handle);
-        let handler = {
-            let receiver = MessageReceiver {
-                context,
-                transport,
-                main: main.clone(),
-            };
-            move |vm: VmId, method: String, value: Box<RawValue>| {
-                receiver.receive(vm, method, value)
-            }
+        let handler = move |vm: VmId, method: String, value: Box<RawValue>| {
+            handle(context.clone(), transport.clone(), vm, method, value)
         };
         let bind = settings.bind_addr.unwrap_or(settings.peer_addr);
-        let server = peers
-            .spawn(zinnia_peer::serve(bind, links, handler))
+        let server = zinnia_peer::serve(bind, links, handler)
             .await
-            .context("the thread for peers has ended")?
             .with_context(|| format!("cannot listen on {bind}"))?;
         tokio::spawn(Arc::clone(&gateway).run_discovery());
         Ok(Self {
             gateway,
             member,
             _server: server,
-            _peer_runtime: peer_runtime,
         })
     }
 }
@@ -113,81 +93,46 @@
     serde_json::to_value(value).map_err(|e| ErrorBody::new(Code::Internal, "encode", e.to_string()))
 }
 
-/// Receives the messages of other processes.
-#[derive(Clone)]
-struct MessageReceiver {
-    context: Option<Arc<MemberContext>>,
-    transport: Transport,
-    /// Runtime of the main thread, which handles requests.
-    main: Handle,
-}
-
-impl MessageReceiver {
-    /// Handles a message.
-    ///
-    /// Messages of the log are passed to the log thread before the future is returned, so that they
-    /// keep their order. A `hello` is answered on the thread of the connections, so that a leader with
-    /// a busy main thread is not taken for lost.
-    fn receive(
-        &self,
-        vm: VmId,
-        method: String,
-        value: Box<RawValue>,
-    ) -> impl Future<Output = Result<Value, ErrorBody>> + Send + use<> {
-        let raft = method == "raft";
-        if raft && let Some(replica) = self.context.as_ref().and_then(|c| c.replica.get()) {
-            match decode(&value) {
-                Ok(message) => replica.receive(vm, message),
-                Err(error) => {
-                    tracing::warn!(event = "raft", peer = %vm, %error, "cannot decode a raft message");
-                }
-            }
-        }
-        let received = clock::now();
-        let Self {
-            context,
-            transport,
-            main,
-        } = self.clone();
-        async move {
-            match (method.as_str(), context) {
-                ("raft", _) => Ok(Value::Null),
-                ("hello", Some(context)) => {
-                    let hello: Hello = decode(&value)?;
-                    encode(&handle_hello(&context, vm, &hello))
-                }
-                (_, context) => main
-                    .spawn(handle(context, transport, method, value, received))
-                    .await
-                    .map_err(|e| ErrorBody::new(Code::Internal, "handle", e.to_string()))?,
-            }
-        }
-    }
-}
-
-/// Handles a request of another process on the main thread.
-async fn handle(
+/// Handles a message of another process.
+///
+/// Log messages are passed to the log thread before the future is returned, so that they keep their
+/// order.
+fn handle(
     context: Option<Arc<MemberContext>>,
     transport: Transport,
+    vm: VmId,
     method: String,
     value: Box<RawValue>,
-    received: Time,
-) -> Result<Value, ErrorBody> {
-    match (method.as_str(), context) {
-        ("advise", _) => {
-            let (job, round, step, workers): (JobId, u32, u32, Vec<String>) = decode(&value)?;
-            let step = StepId { job, round, step };
-            encode(&(transport.query_policy)((step, workers)).await)
-        }
-        ("ask", Some(context)) => {
-            let waited_ms = clock::now().since(received);
-            metrics::histogram!("zinnia_request_wait_ms").record(waited_ms as f64);
-            let request: Request = decode(&value)?;
-            encode(&context.handle(request, waited_ms).await)
+) -> impl Future<Output = Result<Value, ErrorBody>> + Send {
+    let raft = method == "raft";
+    if raft && let Some(replica) = context.as_ref().and_then(|c| c.replica.get()) {
+        match decode(&value) {
+            Ok(message) => replica.receive(vm, message),
+            Err(error) => {
+                tracing::warn!(event = "raft", peer = %vm, %error, "cannot decode a raft message");
+            }
         }
-        _ => {
-            let why = format!("this process does not handle the method {method}");
-            Err(ErrorBody::new(Code::Unavailable, "handle", why))
+    }
+    async move {
+        match (method.as_str(), context) {
+            ("raft", _) => Ok(Value::Null),
+            ("advise", _) => {
+                let (job, round, step, workers): (JobId, u32, u32, Vec<String>) = decode(&value)?;
+                let step = StepId { job, round, step };
+                encode(&(transport.query_policy)((step, workers)).await)
+            }
+            ("ask", Some(context)) => {
+                let request: Request = decode(&value)?;
+                encode(&context.handle(request).await)
+            }
+            ("hello", Some(context)) => {
+                let hello: Hello = decode(&value)?;
+                encode(&handle_hello(&context, vm, &hello))
+            }
+            _ => {
+                let why = format!("this process does not handle the method {method}");
+                Err(ErrorBody::new(Code::Unavailable, "handle", why))
+            }
         }
     }
 }
--- a/crates/zinnia-control/src/requests.rs
+++ b/crates/zinnia-control/src/requests.rs
@@ -11,7 +11,6 @@
 use zinnia_plan::Record;
 use zinnia_plan::Refusal;
 use zinnia_plan::Reply;
-use zinnia_plan::is_abandoned;
 use zinnia_plan::refuse_job;
 use zinnia_replica::ProposalOutcome;
 use zinnia_replica::clock;
@@ -37,22 +36,17 @@
 }
 
 impl MemberContext {
-    /// Handles a request that waited `waited_ms` for the main thread, or names the leader if this
-    /// process is not the leader.
-    pub(crate) async fn handle(&self, request: Request, waited_ms: u64) -> Answer {
+    /// Handles a request, or names the leader if this process is not the leader.
+    pub(crate) async fn handle(&self, request: Request) -> Answer {
         if !self.is_leader() {
             return Answer::Elsewhere(self.leader().map(|(peer, _)| peer));
         }
         match request {
             Request::Caller(request) => {
-                if is_abandoned(request.left_ms, waited_ms) {
-                    metrics::counter!("zinnia_abandoned_total").increment(1);
-                    return Answer::Busy(RETRY_AFTER_MS);
-                }
                 if request.action == CallerAction::Get {
                     self.wait_for_end(&request).await;
                 }
-                match self.decide(request, waited_ms) {
+                match self.decide(request) {
                     Decision::Answer(answer) => self.confirm_leader(answer),
                     Decision::Record(record) => self.commit(vec![record]).await,
                 }
@@ -143,7 +137,7 @@
         // Requests without access to the job must be answered at once, since the delay would reveal
         // its state.
         let allowed = |decision| matches!(decision, Decision::Answer(Answer::Job { .. }));
-        if !may_end() || !allowed(self.decide(request.clone(), 0)) {
+        if !may_end() || !allowed(self.decide(request.clone())) {
             return;
         }
         let limit = Duration::from_millis(self.settings.read_wait_ms);
@@ -173,7 +167,7 @@
         }
     }
 
-    fn decide(&self, request: CallerRequest, waited_ms: u64) -> Decision {
+    fn decide(&self, request: CallerRequest) -> Decision {
         let cell = self.cell_state();
         let state = &cell.state;
         let document = &state.document;
@@ -202,9 +196,8 @@
                 }
                 // A repeated request for a job that is or may become accepted is never refused.
                 let is_new = !state.jobs.contains_key(&id) && !cell.open_submits.contains(&id);
-                if is_new && let Some(refusal) = self.refuse(&cell, queue, &team, &spec, waited_ms)
-                {
-                    log_refusal(id, &queue.name, &team, waited_ms, refusal);
+                if is_new && let Some(refusal) = self.refuse(&cell, queue, &team, &spec) {
+                    log_refusal(id, &queue.name, &team, refusal);
                     return Decision::Answer(Answer::Busy(refusal.retry_after_ms));
                 }
                 Decision::Record(Record::Submit {
@@ -234,12 +227,10 @@
         queue: &Queue,
         team: &str,
         spec: &JobSpec,
-        waited_ms: u64,
     ) -> Option<Refusal> {
         let none = Backlog::default();
         let backlog = cell.leader.as_ref().map_or(&none, Leader::backlog);
         let load = Load {
-            waited_ms,
             live_jobs: cell.state.live.len(),
             backlog,
         };
@@ -289,11 +280,11 @@
     }
 }
 
-fn log_refusal(id: JobId, queue: &str, team: &str, waited_ms: u64, refusal: Refusal) {
+fn log_refusal(id: JobId, queue: &str, team: &str, refusal: Refusal) {
     let reason = refusal.reason.name();
     metrics::counter!("zinnia_refusals_total", "reason" => reason).increment(1);
     tracing::info!(
-        event = "refuse", job = %id, queue, team, reason, waited_ms,
+        event = "refuse", job = %id, queue, team, reason,
         retry_ms = refusal.retry_after_ms, "job refused; it was not accepted"
     );
 }
--- a/crates/zinnia-peer/src/link.rs
+++ b/crates/zinnia-peer/src/link.rs
@@ -17,7 +17,6 @@
 use serde_json::value::RawValue;
 use serde_json::value::to_raw_value;
 use tokio::net::TcpStream;
-use tokio::runtime::Handle;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
@@ -100,13 +99,8 @@
 }
 
 impl Link {
-    /// Creates a link. The connection opens with the first message and runs on `runtime`.
-    pub(crate) fn new(
-        runtime: &Handle,
-        settings: Arc<Settings>,
-        local_vm: VmId,
-        peer: &str,
-    ) -> Self {
+    /// Creates a link. The connection opens with the first message.
+    pub(crate) fn new(settings: Arc<Settings>, local_vm: VmId, peer: &str) -> Self {
         let shared = Arc::new(LinkState {
             queue: MessageQueue::new(settings.queue),
             settings,
@@ -116,9 +110,7 @@
             connection: watch::Sender::new(ConnectionState::Idle),
             traffic: Arc::new(PeerTraffic::new(peer, "link")),
         });
-        let task = runtime
-            .spawn(maintain_connection(shared.clone()))
-            .abort_handle();
+        let task = tokio::spawn(maintain_connection(shared.clone())).abort_handle();
         Self { shared, task }
     }
 
--- a/crates/zinnia-peer/src/links.rs
+++ b/crates/zinnia-peer/src/links.rs
@@ -12,7 +12,6 @@
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
 use serde_json::value::to_raw_value;
-use tokio::runtime::Handle;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 use zinnia_types::VmId;
@@ -32,8 +31,6 @@
 pub struct Links {
     settings: Arc<Settings>,
     local_vm: VmId,
-    /// Runs the connections.
-    runtime: Handle,
     links: Arc<Mutex<BTreeMap<String, Arc<Link>>>>,
 }
 
@@ -46,17 +43,10 @@
 impl Links {
     /// Creates the links of the VM `local_vm`. A connection opens with the first message to its
     /// peer.
-    ///
-    /// The connections run on the current runtime; other threads may use the links as well.
-    ///
-    /// # Panics
-    ///
-    /// Panics outside of a tokio runtime.
     pub fn new(settings: Settings, local_vm: VmId) -> Self {
         Self {
             settings: Arc::new(settings),
             local_vm,
-            runtime: Handle::current(),
             links: Arc::default(),
         }
     }
@@ -64,7 +54,7 @@
     /// Sends a one-way message to `addr` (`ip:port`) without waiting.
     ///
     /// The message is queued. A full queue drops its oldest messages and counts them. Delivery is
-    /// not guaranteed and not reported.
+    /// not guaranteed and not reported. Must be called within a tokio runtime.
     pub fn notify<T: Serialize + ?Sized>(&self, addr: &str, method: &str, value: &T) {
         let link = self.link(addr);
         if self.settings.drops_messages_to(addr) {
@@ -149,8 +139,7 @@
         if let Some(link) = links.get(addr) {
             return link.clone();
         }
-        let settings = self.settings.clone();
-        let link = Arc::new(Link::new(&self.runtime, settings, self.local_vm, addr));
+        let link = Arc::new(Link::new(self.settings.clone(), self.local_vm, addr));
         links.insert(addr.to_owned(), link.clone());
         link
     }
--- a/crates/zinnia-plan/src/admission.rs
+++ b/crates/zinnia-plan/src/admission.rs
@@ -1,20 +1,16 @@
-//! Decides whether the leader takes in a request.
+//! Decides whether the leader accepts a new job.
 //!
-//! The decisions answer two kinds of load: requests that arrive faster than the leader can handle
-//! them, as in a burst of callers or after a change of the leader, and jobs that exceed the capacity
-//! of the workers for so long that they would be of no use when they end.
+//! The decision answers the load of jobs that exceed the capacity of the workers, or the limit of
+//! their team, for so long that they would be of no use when they end.
 
 use crate::Backlog;
 use crate::Document;
 use crate::JobSpec;
 use crate::Queue;
 
-/// Limits of what the leader takes in.
+/// Limits of what the leader accepts.
 #[derive(Clone, Debug)]
 pub struct AdmissionSettings {
-    /// Time in milliseconds that a request may wait for the leader's main thread before new jobs are
-    /// refused.
-    pub max_wait_ms: u64,
     /// Jobs that have not ended above which new jobs are refused.
     pub max_live_jobs: usize,
     /// Shortest and longest delay in milliseconds after which a refused caller may try again.
@@ -24,7 +20,6 @@
 impl Default for AdmissionSettings {
     fn default() -> Self {
         Self {
-            max_wait_ms: 500,
             max_live_jobs: 10_000,
             retry_after_ms: (1_000, 30_000),
         }
@@ -34,8 +29,6 @@
 /// Load of the leader when it decides on a new job.
 #[derive(Clone, Copy, Debug)]
 pub struct Load<'a> {
-    /// Time in milliseconds that the request waited for the main thread.
-    pub waited_ms: u64,
     /// Number of jobs that have not ended.
     pub live_jobs: usize,
     /// Work that waits in front of the workers.
@@ -45,8 +38,6 @@
 /// Why a new job is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalReason {
-    /// The leader is behind with its requests.
-    LeaderBusy,
     /// There are too many jobs that have not ended.
     TooManyJobs,
     /// The job would end too late to be of use.
@@ -57,7 +48,6 @@
     /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
-            Self::LeaderBusy => "leader_busy",
             Self::TooManyJobs => "too_many_jobs",
             Self::Backlog => "backlog",
         }
@@ -73,11 +63,6 @@
     pub retry_after_ms: u64,
 }
 
-/// Whether the caller of a request has stopped waiting, so that any work on it is lost.
-pub fn is_abandoned(left_ms: Option<u64>, waited_ms: u64) -> bool {
-    left_ms.is_some_and(|left| waited_ms >= left)
-}
-
 /// Returns why a new job is refused, or `None` to accept it.
 pub fn refuse_job(
     settings: &AdmissionSettings,
@@ -94,9 +79,6 @@
             retry_after_ms: retry_after_ms.clamp(min_ms, max_ms),
         })
     };
-    if load.waited_ms > settings.max_wait_ms {
-        return refusal(RefusalReason::LeaderBusy, load.waited_ms);
-    }
     if load.live_jobs >= settings.max_live_jobs {
         return refusal(RefusalReason::TooManyJobs, min_ms);
     }
--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -26,7 +26,6 @@
 pub use admission::Load;
 pub use admission::Refusal;
 pub use admission::RefusalReason;
-pub use admission::is_abandoned;
 pub use admission::refuse_job;
 pub use backlog::Backlog;
 pub use document::Document;
