plan: a limited team's backlog and an absurd estimate keep out no other team

Cause: the wait of a new job counted all waiting work of other teams, also what their own limits keep from the workers, and each task with its full estimate. A team with a low limit, or one job with an estimate of years, would have had the jobs of all teams refused.

Change: within the time that the job may wait, a team's work counts up to its limit, and a task with one minute at most. Three cases of new_job_is_refused_by_load cover it.

--- a/crates/zinnia-plan/src/admission.rs
+++ b/crates/zinnia-plan/src/admission.rs
@@ -82,10 +82,10 @@
     if load.live_jobs >= settings.max_live_jobs {
         return refusal(RefusalReason::TooManyJobs, min_ms);
     }
-    let wait_limit_ms = wait_limit_ms(queue, spec);
-    let wait_ms = load.backlog.wait_ms(document, queue, team);
-    if wait_ms > wait_limit_ms {
-        return refusal(RefusalReason::Backlog, wait_ms - wait_limit_ms);
+    let limit_ms = wait_limit_ms(queue, spec);
+    let excess_ms = load.backlog.excess_ms(document, queue, team, limit_ms);
+    if excess_ms > 0 {
+        return refusal(RefusalReason::Backlog, excess_ms);
     }
     None
 }
--- a/crates/zinnia-plan/src/backlog.rs
+++ b/crates/zinnia-plan/src/backlog.rs
@@ -18,15 +18,37 @@
 }
 
 impl Work {
-    fn add(&mut self, resources: &Resources, tasks: u64, ms: u64) {
+    fn add(&mut self, other: Self) {
+        self.cpu = self.cpu.saturating_add(other.cpu);
+        self.mem = self.mem.saturating_add(other.mem);
+        self.gpu = self.gpu.saturating_add(other.gpu);
+    }
+
+    /// Work of tasks that each take these resources for `ms`.
+    fn of_tasks(resources: &Resources, tasks: u64, ms: u64) -> Self {
         let amount = |per_task: u64| per_task.saturating_mul(tasks).saturating_mul(ms);
-        self.cpu = self.cpu.saturating_add(amount(resources.cpu));
-        self.mem = self.mem.saturating_add(amount(resources.mem));
-        self.gpu = self.gpu.saturating_add(amount(resources.gpu));
+        Self {
+            cpu: amount(resources.cpu),
+            mem: amount(resources.mem),
+            gpu: amount(resources.gpu),
+        }
+    }
+
+    /// The part that can be done within `ms` by this capacity. A capacity of 0 is unlimited.
+    fn within(self, capacity: &Resources, ms: u64) -> Self {
+        let part = |work: u64, capacity: u64| match capacity {
+            0 => work,
+            capacity => work.min(capacity.saturating_mul(ms)),
+        };
+        Self {
+            cpu: part(self.cpu, capacity.cpu),
+            mem: part(self.mem, capacity.mem),
+            gpu: part(self.gpu, capacity.gpu),
+        }
     }
 
     /// Time in which this capacity does the work. A capacity of 0 is unlimited.
-    fn duration_ms(&self, capacity: &Resources) -> u64 {
+    fn duration_ms(self, capacity: &Resources) -> u64 {
         let time = |work: u64, capacity: u64| work.checked_div(capacity).unwrap_or(0);
         time(self.cpu, capacity.cpu)
             .max(time(self.mem, capacity.mem))
@@ -34,13 +56,18 @@
     }
 }
 
+/// Longest run time in milliseconds that a task counts with. A wrong estimate of one job must not
+/// keep out all others.
+const MAX_ESTIMATE_MS: u64 = 60_000;
+
+/// Work of one team in one pool, by priority of the queue.
+type TeamWork = BTreeMap<u32, Work>;
+
 /// Estimated work of the tasks that are due and wait for a worker.
 #[derive(Clone, Debug, Default)]
 pub struct Backlog {
-    /// By pool and priority of the queue.
-    pools: BTreeMap<String, BTreeMap<u32, Work>>,
-    /// By team and priority of the queue.
-    teams: BTreeMap<String, BTreeMap<u32, Work>>,
+    /// By pool and team.
+    pools: BTreeMap<String, BTreeMap<String, TeamWork>>,
     /// Capacity of the workers of each pool that accept tasks.
     capacities: BTreeMap<String, Resources>,
 }
@@ -64,9 +91,8 @@
     }
 
     fn add_job(&mut self, job: &Job, queue: &Queue, wall_ms: i64) {
-        let by_priority = self.pools.entry(queue.pool.clone()).or_default();
-        let pool_work = by_priority.entry(queue.priority).or_default();
-        let by_priority = self.teams.entry(job.team.clone()).or_default();
+        let teams = self.pools.entry(queue.pool.clone()).or_default();
+        let by_priority = teams.entry(job.team.clone()).or_default();
         let team_work = by_priority.entry(queue.priority).or_default();
         let due = (0..)
             .zip(&job.rounds)
@@ -77,31 +103,36 @@
             }
             let settled = u64::from(state.done) + u64::from(state.assigned);
             let tasks = u64::from(step.count).saturating_sub(settled);
-            pool_work.add(&step.demand(), tasks, step.estimate_ms);
-            team_work.add(&step.resources, tasks, step.estimate_ms);
+            let ms = step.estimate_ms.min(MAX_ESTIMATE_MS);
+            team_work.add(Work::of_tasks(&step.demand(), tasks, ms));
         }
     }
 
-    /// Estimated time until the workers have started everything that goes before a new job of this
-    /// queue and team: the work of queues of the same or higher priority, of all teams within the
-    /// capacity of the pool, and of this team within its limit.
-    pub fn wait_ms(&self, document: &Document, queue: &Queue, team: &str) -> u64 {
-        let ahead = |by_priority: Option<&BTreeMap<u32, Work>>, capacity: &Resources| {
-            let goes_before = by_priority
-                .into_iter()
-                .flat_map(|p| p.range(..=queue.priority));
-            goes_before
-                .map(|(_, work)| work.duration_ms(capacity))
-                .sum()
+    /// By how much the wait of a new job of this queue and team exceeds `limit_ms`, in milliseconds;
+    /// 0 if it starts in time.
+    ///
+    /// The work of queues of the same or a higher priority goes before the job: that of its team
+    /// within the team's limit, and that of all teams within the capacity of the pool. What another
+    /// team cannot start within `limit_ms` because of its own limit leaves room for the job.
+    pub fn excess_ms(&self, document: &Document, queue: &Queue, team: &str, limit_ms: u64) -> u64 {
+        let Some(teams) = self.pools.get(&queue.pool) else {
+            return 0;
         };
-        let capacity = self
-            .capacities
-            .get(&queue.pool)
-            .copied()
-            .unwrap_or_default();
-        let of_all: u64 = ahead(self.pools.get(&queue.pool), &capacity);
-        let cap = document.team(team).map(|t| t.cap).unwrap_or_default();
-        let of_team: u64 = ahead(self.teams.get(team), &cap);
-        of_all.max(of_team)
+        let mut all = Work::default();
+        let mut own_ms = 0;
+        for (name, by_priority) in teams {
+            let cap = document.team(name).map(|t| t.cap).unwrap_or_default();
+            let mut work = Work::default();
+            for (_, of_priority) in by_priority.range(..=queue.priority) {
+                work.add(*of_priority);
+            }
+            all.add(work.within(&cap, limit_ms));
+            if name == team {
+                own_ms = work.duration_ms(&cap);
+            }
+        }
+        let capacity = self.capacities.get(&queue.pool);
+        let all_ms = all.duration_ms(&capacity.copied().unwrap_or_default());
+        all_ms.max(own_ms).saturating_sub(limit_ms)
     }
 }
--- a/crates/zinnia-plan/tests/overload.rs
+++ b/crates/zinnia-plan/tests/overload.rs
@@ -17,11 +17,14 @@
 use zinnia_plan::JobSpec;
 use zinnia_plan::Load;
 use zinnia_plan::Queue;
+use zinnia_plan::Record;
 use zinnia_plan::Refusal;
 use zinnia_plan::RefusalReason;
 use zinnia_plan::Resources;
 use zinnia_plan::Status;
+use zinnia_plan::Step;
 use zinnia_plan::TaskId;
+use zinnia_plan::Team;
 use zinnia_plan::refuse_job;
 use zinnia_types::JobId;
 
@@ -218,7 +221,11 @@
         waiting: u32,
         /// Priority of the queue in which they wait; that of the new job is 1.
         waiting_priority: u32,
+        /// Limit of the team that submits, and whose jobs wait unless `of_other` is set.
         team_cap: u64,
+        /// Whether the waiting tasks are of another team, which has this limit.
+        of_other: Option<u64>,
+        estimate_ms: u64,
         refusal: Option<Refusal>,
     }
     let refusal = |reason, retry_after_ms| {
@@ -233,6 +240,8 @@
         waiting: 0,
         waiting_priority: 1,
         team_cap: 0,
+        of_other: None,
+        estimate_ms: 1_000,
         refusal: None,
     };
     let cases = [
@@ -268,6 +277,26 @@
             refusal: refusal(RefusalReason::Backlog, 7_875),
             ..idle
         },
+        Case {
+            name: "long queue of another team",
+            waiting: 400,
+            of_other: Some(0),
+            refusal: refusal(RefusalReason::Backlog, 7_875),
+            ..idle
+        },
+        // The other team uses half of the workers at most.
+        Case {
+            name: "long queue of a limited team",
+            waiting: 400,
+            of_other: Some(20_000),
+            ..idle
+        },
+        Case {
+            name: "absurd estimate of one task",
+            waiting: 1,
+            estimate_ms: u64::MAX,
+            ..idle
+        },
         Case {
             name: "long queue of the team",
             waiting: 100,
@@ -279,10 +308,17 @@
     ];
     for case in cases {
         let mut cell = Cell::new();
-        cell.sim.state.document.teams[0].cap = Resources {
-            cpu: case.team_cap,
+        let cap = |cpu| Resources {
+            cpu,
             ..Resources::default()
         };
+        let teams = &mut cell.sim.state.document.teams;
+        teams[0].cap = cap(case.team_cap);
+        teams.push(Team {
+            name: "other".to_owned(),
+            cap: cap(case.of_other.unwrap_or(0)),
+            ..Team::default()
+        });
         let queues = &mut cell.sim.state.document.queues;
         queues[0].priority = 1;
         queues.push(Queue {
@@ -292,8 +328,17 @@
             ..queues[0].clone()
         });
         if case.waiting > 0 {
-            let spec = job(vec![step(case.waiting, 1_000)]);
-            cell.sim.submit_to("other", 1, spec);
+            let waiting = Step {
+                estimate_ms: case.estimate_ms,
+                ..step(case.waiting, 1_000)
+            };
+            let team = case.of_other.map_or("kibo", |_| "other");
+            cell.sim.apply(Record::Submit {
+                id: JobId(1),
+                queue: "other".to_owned(),
+                team: team.to_owned(),
+                spec: job(vec![waiting]),
+            });
         }
         let wall_ms = i64::try_from(cell.sim.now).expect("a short test");
         let backlog = Backlog::new(&cell.sim.state, wall_ms);
