worker: a stopped worker sends no response that its log lacks

The scenario kills worker east-w0 while it serves calls. A stop cancels the connections and then records Down; a handler that runs at that moment on another thread still returned its response, while its Served record came after Down and was dropped. So the stand-in answered, and the checker could not see it. The daemon did nothing wrong. Ruled out: a response of another request (the digest is of a body with worker and request id) and a worker that started again (its records are kept apart). Change: the end of a call is recorded before its response is returned; if the log refuses the record since the worker was stopped, the response is never returned.

--- a/crates/zinnia-worker/src/call.rs
+++ b/crates/zinnia-worker/src/call.rs
@@ -20,6 +20,7 @@
 use zinnia_types::ServiceId;
 use zinnia_types::WorkerId;
 
+use crate::FaultInjection;
 use crate::WorkerEvent;
 use crate::digest;
 use crate::server::ServerState;
@@ -48,22 +49,33 @@
     pub body: Value,
 }
 
-/// Logs the end of a call when dropped, which includes a caller that closed the connection.
+/// Logs the end of a call, at the latest when dropped: the caller may close the connection.
 struct CallGuard<'a> {
     state: &'a ServerState,
     service: ServiceId,
     id: Option<String>,
-    /// Digest of the response body.
-    response: Option<u64>,
+    ended: bool,
 }
 
-impl Drop for CallGuard<'_> {
-    fn drop(&mut self) {
+impl CallGuard<'_> {
+    /// Logs the end of the call with the digest of its response body.
+    ///
+    /// Returns false if the worker was stopped: a process that has ended sends no response.
+    fn end(&mut self, response: Option<u64>) -> bool {
+        self.ended = true;
         self.state.event_log.add(WorkerEvent::Served {
             service: self.service,
             id: self.id.take(),
-            response: self.response,
-        });
+            response,
+        })
+    }
+}
+
+impl Drop for CallGuard<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(None);
+        }
     }
 }
 
@@ -133,34 +145,50 @@
         state: &state,
         service: id,
         id: request_id.clone(),
-        response: None,
+        ended: false,
     };
     let faults = state.faults.borrow().clone();
     tokio::time::sleep(Duration::from_millis(service.delay_ms())).await;
+    let (response, digest) = respond(&state, &faults, id, request_id, &body).await;
+    if !guard.end(digest) {
+        // The connection ends with the worker, which has been stopped.
+        std::future::pending::<()>().await;
+    }
+    response
+}
+
+/// Makes the response of a call that ran, with the digest of its body unless it is an error.
+async fn respond(
+    state: &ServerState,
+    faults: &FaultInjection,
+    service: ServiceId,
+    id: Option<String>,
+    body: &[u8],
+) -> (Response, Option<u64>) {
+    let failed = |text| {
+        let body = ErrorBody::new(Code::Internal, "call", text);
+        let body = body.peer(state.worker.as_str());
+        (error_response(body.ran(ExecutionStatus::Ran)), None)
+    };
     if faults.stall {
         std::future::pending::<()>().await;
     }
     tokio::time::sleep(Duration::from_millis(faults.response_delay_ms)).await;
     if faults.fail {
-        let text = "fault injection fails every call";
-        return error_response(
-            ErrorBody::new(Code::Internal, "call", text)
-                .peer(worker)
-                .ran(ExecutionStatus::Ran),
-        );
+        return failed("fault injection fails every call");
     }
-    let body = serde_json::from_slice(&body)
-        .unwrap_or_else(|_| Value::String(String::from_utf8_lossy(&body).into_owned()));
+    let body = serde_json::from_slice(body)
+        .unwrap_or_else(|_| Value::String(String::from_utf8_lossy(body).into_owned()));
     let response = CallResponse {
         worker: state.worker,
-        service: id,
-        id: request_id,
+        service,
+        id,
         body,
     };
     let Ok(response) = serde_json::to_vec(&response) else {
-        let body = ErrorBody::new(Code::Internal, "call", "failed to serialize the response");
-        return error_response(body.peer(worker).ran(ExecutionStatus::Ran));
+        return failed("failed to serialize the response");
     };
-    guard.response = Some(digest(&response));
-    ([(CONTENT_TYPE, "application/json")], response).into_response()
+    let digest = digest(&response);
+    let response = ([(CONTENT_TYPE, "application/json")], response);
+    (response.into_response(), Some(digest))
 }
--- a/crates/zinnia-worker/src/event_log.rs
+++ b/crates/zinnia-worker/src/event_log.rs
@@ -115,11 +115,12 @@
         }
     }
 
-    pub(crate) fn add(&self, event: WorkerEvent) {
+    /// Adds a record, unless the worker was stopped. Returns whether the event was recorded.
+    pub(crate) fn add(&self, event: WorkerEvent) -> bool {
         let mut records = self.lock();
         if matches!(records.last(), Some(last) if last.event == WorkerEvent::Down) {
             // The simulated process has ended, so an operation that still runs must not show.
-            return;
+            return false;
         }
         // The clock is read under the lock to keep the records in order of time.
         let at = crate::now();
@@ -129,6 +130,7 @@
             worker: self.worker,
             event,
         });
+        true
     }
 
     pub(crate) fn records(&self) -> Vec<EventRecord> {
