plan: low-priority tasks leave headroom in the limit of their team

Ruled out: a full pool (then queries go out at once) and a slow leader (others start within 0.1 s at the same time). Change: headroom.rs keeps the headroom of 20 % also within the limit of a team that had an open urgent job in the last 10 s. Tests of placement move to a file of their own.

--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -22,6 +22,7 @@
 use crate::Task;
 use crate::TaskId;
 use crate::Worker;
+use crate::headroom::UrgentTeams;
 use crate::placement::Decisions;
 use crate::worker_index::WorkerIndices;
 use crate::worker_view::OrderState;
@@ -39,6 +40,7 @@
     pub(crate) views: BTreeMap<String, WorkerView>,
     pub(crate) indices: WorkerIndices,
     pub(crate) decisions: Decisions,
+    pub(crate) urgent_teams: UrgentTeams,
     /// Work that waits, as of `backlog_at`.
     backlog: Backlog,
     backlog_at: Option<Time>,
@@ -66,6 +68,7 @@
             views: BTreeMap::new(),
             indices: WorkerIndices::default(),
             decisions: BTreeMap::new(),
+            urgent_teams: UrgentTeams::new(),
             backlog: Backlog::default(),
             backlog_at: None,
             last_check: None,
@@ -369,6 +372,7 @@
         {
             self.last_check = Some(now);
             self.update_views(state, now);
+            self.update_urgent_teams(state, now);
             self.expire_leases(state, now, &mut plan);
             self.stop_runs(state, now, &mut plan);
             self.decisions
--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -11,6 +11,7 @@
 mod capacity;
 mod document;
 mod gang;
+mod headroom;
 mod job;
 mod leader;
 mod placement;
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -1,7 +1,6 @@
 //! Placement: assigns waiting tasks to workers.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use zinnia_types::Time;
 
@@ -20,18 +19,13 @@
 use crate::TaskId;
 use crate::capacity::Capacities;
 use crate::capacity::WorkerCapacity;
+use crate::headroom::UrgentWork;
 use crate::policy::PolicyDecisions;
 use crate::worker_index::WorkerIndex;
 use crate::worker_index::WorkerIndices;
 
 /// Maximum number of workers in one query to the placement policy.
 const MAX_QUERY_WORKERS: usize = 30;
-/// Priority value of urgent queues.
-const URGENT_PRIORITY: u32 = 0;
-/// Lowest priority value of the queues that leave headroom for urgent queues of the same pool.
-const HEADROOM_PRIORITY: u32 = 2;
-/// Share of a pool's capacity, in percent, that stays free as headroom for urgent queues.
-const HEADROOM_PERCENT: u64 = 20;
 
 /// A step with tasks that wait for a worker.
 pub(crate) struct WaitingStep<'a> {
@@ -55,8 +49,7 @@
     pub(crate) usage: BTreeMap<&'a str, Resources>,
     /// Number of gangs with reserved resources, by pool.
     pub(crate) gang_reservations: BTreeMap<&'a str, usize>,
-    /// Pools with an urgent queue.
-    urgent_pools: BTreeSet<&'a str>,
+    pub(crate) urgent: UrgentWork<'a>,
     pub(crate) now: Time,
     pub(crate) wall_ms: i64,
 }
@@ -71,15 +64,13 @@
         }
         waiting.sort_by_key(|d| (d.queue.priority, d.expired, d.job.accepted_ms, d.id));
         let capacities = self.worker_capacities(state, now);
-        let queues = state.document.queues.iter();
-        let urgent = queues.filter(|q| q.priority == URGENT_PRIORITY);
         let mut pass = PlacementPass {
             state,
             indices: &self.indices,
             capacities,
             usage: BTreeMap::new(),
             gang_reservations: BTreeMap::new(),
-            urgent_pools: urgent.map(|q| q.pool.as_str()).collect(),
+            urgent: UrgentWork::new(&state.document, &self.urgent_teams),
             now,
             wall_ms,
         };
@@ -289,22 +280,6 @@
         rows.into_iter().map(|row| row.4).collect()
     }
 
-    /// Whether the step must leave the remaining capacity to urgent queues. With this headroom a
-    /// burst of urgent jobs starts without delay, while jobs of low priority may take several times
-    /// their run time.
-    fn must_leave_headroom(&self, waiting: &WaitingStep<'_>) -> bool {
-        let queue = waiting.queue;
-        if queue.priority < HEADROOM_PRIORITY || !self.urgent_pools.contains(queue.pool.as_str()) {
-            return false;
-        }
-        let Some(pool) = self.capacities.pool(&queue.pool) else {
-            return false;
-        };
-        let below_headroom = |free: u64, all: u64| free * 100 < all * HEADROOM_PERCENT;
-        (waiting.step.resources.gpu > 0 && below_headroom(pool.free.gpu, pool.total.gpu))
-            || below_headroom(pool.free.cpu, pool.total.cpu)
-    }
-
     fn has_capacity(&self, waiting: &WaitingStep<'_>, worker: WorkerIndex) -> bool {
         let need = waiting.step.demand();
         self.capacities
@@ -390,7 +365,7 @@
             && below_cap(team.cap.gpu, used.gpu, resources.gpu)
     }
 
-    fn team_usage(&mut self, team: &'a str) -> &mut Resources {
+    pub(crate) fn team_usage(&mut self, team: &'a str) -> &mut Resources {
         let state = self.state;
         let known = || state.usage.get(team).copied().unwrap_or_default();
         self.usage.entry(team).or_insert_with(known)
--- /dev/null
+++ b/crates/zinnia-plan/tests/placement.rs
@@ -0,0 +1,398 @@
+//! Placement of waiting tasks: capacity, limits, headroom, gangs and queries to the policy.
+
+mod common;
+
+use common::Simulation;
+use common::document;
+use common::incarnation;
+use common::job;
+use common::step;
+use zinnia_plan::Policy;
+use zinnia_types::Time;
+
+const POLICY: Policy = Policy {
+    base_ms: 100.0,
+    worker_ms: 1.0,
+    valid_ms: 1_500,
+};
+
+/// Guards against tickets whose validity counts from the query, so that they have expired when a
+/// slow answer arrives.
+#[test]
+fn ticket_validity_counts_from_answer() {
+    let mut sim = Simulation::new(document(Some(POLICY)));
+    sim.add_worker(&incarnation("w", 4_000));
+    sim.submit(job(vec![step(1, 1_000)]));
+    let mut plan = sim.plan();
+    assert!(plan.starts.is_empty(), "no start without a ticket");
+    let query = plan.queries.pop().expect("the policy is queried");
+    sim.now += 2_400;
+    sim.heartbeat(&incarnation("w", 4_000), 2, false);
+    let granted = vec![("w".to_owned(), "ticket".to_owned())];
+    sim.leader
+        .policy_answered(&query, Some(granted), Time(sim.now));
+    let orders = sim.start_tasks();
+    assert_eq!(orders.len(), 1);
+    assert_eq!(orders[0].ticket, "ticket");
+}
+
+/// Guards against queries that overtake more urgent ones in the queue of the policy.
+#[test]
+fn queries_respect_policy_budget() {
+    let mut sim = Simulation::new(document(Some(POLICY)));
+    sim.add_worker(&incarnation("w", 4_000));
+    sim.submit(job(vec![step(1, 1_000)]));
+    let wall = i64::try_from(sim.now).unwrap();
+    let plan = sim.leader.plan(&sim.state, true, 0, Time(sim.now), wall);
+    assert!(plan.queries.is_empty());
+    assert_eq!(sim.plan().queries.len(), 1);
+}
+
+/// Guards against starts beyond the capacity of a worker, the limit of a team or the maximum number
+/// of tasks per worker.
+#[test]
+fn starts_respect_resource_limits() {
+    struct Case {
+        name: &'static str,
+        count: u32,
+        per_worker: u32,
+        cap: u64,
+        started: usize,
+    }
+    let cases = [
+        Case {
+            name: "capacity",
+            count: 9,
+            per_worker: 0,
+            cap: 0,
+            started: 4,
+        },
+        Case {
+            name: "tasks per worker",
+            count: 9,
+            per_worker: 2,
+            cap: 0,
+            started: 2,
+        },
+        Case {
+            name: "team limit",
+            count: 9,
+            per_worker: 0,
+            cap: 3_500,
+            started: 3,
+        },
+    ];
+    for case in cases {
+        let mut doc = document(None);
+        doc.teams[0].cap.cpu = case.cap;
+        let mut sim = Simulation::new(doc);
+        sim.add_worker(&incarnation("w", 4_000));
+        sim.submit(job(vec![zinnia_plan::Step {
+            per_worker: case.per_worker,
+            ..step(case.count, 1_000)
+        }]));
+        assert_eq!(sim.start_tasks().len(), case.started, "{}", case.name);
+        assert_eq!(sim.start_tasks().len(), 0, "{}: second pass", case.name);
+    }
+}
+
+/// Guards against a gang of which some members start while there are not enough resources for all.
+#[test]
+fn gang_starts_as_a_whole() {
+    let gang = |count| zinnia_plan::Step {
+        gang: true,
+        ..step(count, 1_000)
+    };
+    let mut sim = Simulation::new(document(None));
+    sim.add_worker(&incarnation("w", 4_000));
+    sim.submit(job(vec![gang(5)]));
+    assert_eq!(sim.start_tasks().len(), 0);
+    sim.add_worker(&incarnation("v", 4_000));
+    assert_eq!(sim.start_tasks().len(), 5);
+}
+
+/// Guards against queries that include the workers of a step one by one, and against queries for
+/// tickets of workers without free resources.
+#[test]
+fn query_includes_all_eligible_workers() {
+    let mut sim = Simulation::new(document(Some(POLICY)));
+    for name in ["a", "b", "c"] {
+        sim.add_worker(&incarnation(name, 1_000));
+    }
+    sim.submit(job(vec![step(2, 1_000)]));
+    let query = sim.plan().queries.pop().expect("the policy is queried");
+    assert_eq!(query.workers.len(), 3);
+    let granted = vec![("b".to_owned(), "ticket".to_owned())];
+    sim.leader
+        .policy_answered(&query, Some(granted), Time(sim.now));
+    assert_eq!(sim.start_tasks().len(), 1);
+    let plan = sim.plan();
+    assert!(
+        plan.queries.is_empty(),
+        "the only allowed worker has no free resources"
+    );
+}
+
+/// Guards against a gang that never starts because smaller tasks take all resources that become
+/// free.
+#[test]
+fn resources_are_reserved_for_waiting_gang() {
+    let mut sim = Simulation::new(document(None));
+    sim.add_worker(&incarnation("w", 4_000));
+    sim.submit_to("quick", 2, job(vec![step(1, 1_000)]));
+    assert_eq!(sim.start_tasks().len(), 1);
+    sim.submit(job(vec![zinnia_plan::Step {
+        gang: true,
+        ..step(4, 1_000)
+    }]));
+    sim.now += 600;
+    sim.heartbeat(&incarnation("w", 4_000), 2, false);
+    sim.submit_to("quick", 3, job(vec![step(1, 1_000)]));
+    assert!(
+        sim.start_tasks().is_empty(),
+        "the resources are reserved for the gang"
+    );
+}
+
+/// Guards against a gang that reserves whole workers when it needs only part of their resources.
+#[test]
+fn gang_reserves_only_its_demand() {
+    let mut sim = Simulation::new(document(None));
+    for name in ["w", "v"] {
+        sim.add_worker(&incarnation(name, 8_000));
+    }
+    sim.submit_to("quick", 2, job(vec![step(1, 6_000)]));
+    assert_eq!(sim.start_tasks().len(), 1);
+    let gang = zinnia_plan::Step {
+        gang: true,
+        per_worker: 1,
+        ..step(2, 3_000)
+    };
+    sim.submit_to("quick", 3, job(vec![gang]));
+    sim.now += 600;
+    for name in ["w", "v"] {
+        sim.heartbeat(&incarnation(name, 8_000), 2, false);
+    }
+    sim.submit_to("quick", 4, job(vec![step(9, 1_000)]));
+    let orders = sim.start_tasks();
+    let started: Vec<u32> = orders.iter().map(|o| o.common.task.index).collect();
+    assert_eq!(
+        started,
+        [0, 1, 2, 3, 4],
+        "the tasks use all resources that are not reserved"
+    );
+}
+
+/// Guards against low-priority queues that never run because they leave headroom to queues that are
+/// not urgent, and against ones that leave no headroom for a burst of urgent jobs.
+#[test]
+fn low_priority_queues_leave_headroom_for_urgent_ones() {
+    struct Case {
+        name: &'static str,
+        priority: u32,
+        started: usize,
+    }
+    let cases = [
+        Case {
+            name: "urgent",
+            priority: 0,
+            started: 0,
+        },
+        Case {
+            name: "not urgent",
+            priority: 1,
+            started: 1,
+        },
+    ];
+    for case in cases {
+        let mut doc = document(None);
+        doc.queues[0].priority = 2;
+        doc.queues.push(zinnia_plan::Queue {
+            name: "other".to_owned(),
+            prefix: "/o/".to_owned(),
+            priority: case.priority,
+            ..doc.queues[0].clone()
+        });
+        let mut sim = Simulation::new(doc);
+        sim.add_worker(&incarnation("w", 10_000));
+        sim.submit_to("other", 2, job(vec![step(1, 9_000)]));
+        assert_eq!(sim.start_tasks().len(), 1, "{}", case.name);
+        sim.submit(job(vec![step(1, 1_000)]));
+        assert_eq!(sim.start_tasks().len(), case.started, "{}", case.name);
+    }
+}
+
+/// Guards against a gang that never starts: its tickets expire while it waits for resources, and
+/// its own reservation prevents new queries.
+#[test]
+fn waiting_gang_renews_its_tickets() {
+    let mut doc = document(Some(POLICY));
+    doc.queues.push(zinnia_plan::Queue {
+        name: "plain".to_owned(),
+        prefix: "/p/".to_owned(),
+        policy: None,
+        priority: 1,
+        ..doc.queues[0].clone()
+    });
+    let mut sim = Simulation::new(doc);
+    for name in ["a", "b"] {
+        sim.add_worker(&incarnation(name, 1_000));
+    }
+    sim.submit_to("plain", 2, job(vec![step(1, 1_000)]));
+    let busy = sim.start_tasks().pop().expect("the first job is started");
+    sim.submit(job(vec![zinnia_plan::Step {
+        gang: true,
+        ..step(2, 1_000)
+    }]));
+    let granted = || {
+        let row = |w: &str| (w.to_owned(), "ticket".to_owned());
+        Some(["a", "b"].map(row).to_vec())
+    };
+    let query = sim.plan().queries.pop().expect("the policy is queried");
+    sim.leader.policy_answered(&query, granted(), Time(sim.now));
+    assert!(sim.start_tasks().is_empty(), "one worker is busy");
+    sim.now += 2_000;
+    let end = zinnia_plan::End {
+        number: 1,
+        task: busy.common.task,
+        run: busy.common.run,
+        reason: zinnia_plan::EndReason::Done,
+        checkpoint: String::new(),
+    };
+    sim.apply(zinnia_plan::Record::Ends {
+        worker: busy.common.worker,
+        born: busy.common.born,
+        upto: 1,
+        list: vec![end],
+    });
+    for name in ["a", "b"] {
+        sim.heartbeat(&incarnation(name, 1_000), 2, false);
+    }
+    sim.submit_to("plain", 3, job(vec![step(1, 1_000)]));
+    let mut plan = sim.plan();
+    assert_eq!(plan.starts, [], "the resources are reserved for the gang");
+    let query = plan.queries.pop().expect("the policy is queried again");
+    assert_eq!(query.workers.len(), 2);
+    sim.leader.policy_answered(&query, granted(), Time(sim.now));
+    assert_eq!(sim.start_tasks().len(), 2, "the gang starts");
+}
+
+/// Guards against a job that the loss of any failure domain delays because its tasks are spread
+/// over all domains.
+#[test]
+fn tasks_of_a_job_share_a_failure_domain() {
+    let mut sim = Simulation::new(document(None));
+    for n in 0..12 {
+        let domain = format!("z{}", n % 3);
+        let incarnation = zinnia_plan::Incarnation {
+            domain,
+            ..incarnation(&format!("w{n:02}"), 1_000)
+        };
+        sim.add_worker(&incarnation);
+    }
+    let mut used_domains = std::collections::BTreeSet::new();
+    for id in 1..=3 {
+        sim.submit_to("quick", id, job(vec![step(4, 1_000)]));
+        let orders = sim.start_tasks();
+        assert_eq!(orders.len(), 4);
+        let domain = |o: &zinnia_plan::StartOrder| {
+            let worker = &sim.state.workers[&o.common.worker];
+            worker.incarnation.domain.clone()
+        };
+        let used: std::collections::BTreeSet<String> = orders.iter().map(domain).collect();
+        assert_eq!(used.len(), 1, "job {id}: {used:?}");
+        used_domains.extend(used);
+    }
+    assert_eq!(used_domains.len(), 3, "jobs start with different domains");
+}
+
+/// Guards against a task that never starts because tickets are renewed for workers that can take no
+/// further task of the step, while the workers that could are never queried.
+#[test]
+fn undecided_workers_are_queried_before_useless_renewals() {
+    let mut sim = Simulation::new(document(Some(POLICY)));
+    let names: Vec<String> = (0..31).map(|n| format!("w{n:02}")).collect();
+    for name in &names {
+        sim.add_worker(&incarnation(name, 4_000));
+    }
+    sim.submit(job(vec![zinnia_plan::Step {
+        per_worker: 1,
+        ..step(2, 1_000)
+    }]));
+    let query = sim.plan().queries.pop().expect("the policy is queried");
+    assert_eq!(query.workers, names[..30]);
+    let granted = vec![("w00".to_owned(), "ticket".to_owned())];
+    sim.leader
+        .policy_answered(&query, Some(granted), Time(sim.now));
+    let mut plan = sim.plan();
+    assert_eq!(plan.starts.len(), 1, "one worker may run one task");
+    sim.start(plan.starts);
+    let failed = plan.queries.pop().expect("the policy is queried again");
+    assert_eq!(failed.workers, names[30..]);
+    sim.leader.policy_answered(&failed, None, Time(sim.now));
+    sim.now += POLICY.valid_ms;
+    let query = sim
+        .plan()
+        .queries
+        .pop()
+        .expect("the policy is queried after the failure");
+    assert_eq!(query.workers, names[30..]);
+}
+
+/// Guards against urgent jobs that wait although much of the pool is free, because tasks of low
+/// priority use the whole limit of their team.
+#[test]
+fn low_priority_tasks_leave_headroom_in_the_team_limit() {
+    struct Case {
+        name: &'static str,
+        urgent_before: bool,
+        waited_ms: u64,
+        started: usize,
+    }
+    let cases = [
+        Case {
+            name: "no urgent jobs",
+            urgent_before: false,
+            waited_ms: 0,
+            started: 10,
+        },
+        Case {
+            name: "urgent jobs",
+            urgent_before: true,
+            waited_ms: 0,
+            started: 9,
+        },
+        Case {
+            name: "urgent jobs long ago",
+            urgent_before: true,
+            waited_ms: 60_000,
+            started: 10,
+        },
+    ];
+    for case in cases {
+        let mut doc = document(None);
+        doc.queues.push(zinnia_plan::Queue {
+            name: "later".to_owned(),
+            prefix: "/l/".to_owned(),
+            priority: 2,
+            ..doc.queues[0].clone()
+        });
+        doc.teams[0].cap.cpu = 10_000;
+        let mut sim = Simulation::new(doc);
+        sim.add_worker(&incarnation("w", 100_000));
+        if case.urgent_before {
+            sim.submit(job(vec![step(1, 1_000)]));
+            sim.now += 100;
+            let order = sim.start_tasks().pop().expect("the urgent job starts");
+            let key = order.common;
+            sim.end("w", 1, key.task, key.run, zinnia_plan::EndReason::Done);
+        }
+        sim.now += case.waited_ms;
+        sim.heartbeat(&incarnation("w", 100_000), 2, false);
+        let single_tasks = (2..22).map(|id| (id, job(vec![step(1, 1_000)])));
+        for (id, spec) in single_tasks {
+            sim.submit_to("later", id, spec);
+        }
+        assert_eq!(sim.start_tasks().len(), case.started, "{}", case.name);
+    }
+}
