plan: query the policy about all workers of a gang at once, keep its choice and its tickets

The log shows three reasons. The policy decides on 30 workers in 0.7 s, and a gang asked one question after the other about its 134 workers, though 102 processes can ask. A gang whose workers had room asked again and again (six renewals of 0.5 s each, all granted, none used): while it waited for tickets, other workers or a rack earlier in the order became free and it chose those. And tickets had expired each time room appeared, which cost another 0.5 s. A reservation also took the ranking backwards, so it preferred workers away from the data. Ruled out: capacity (two thirds of the GPUs are used) and queries of other queues in front (a query takes 0.71 s, its own cost). Change: several open queries for one step, each through another process; workers with a ticket or in an open query are chosen first; a waiting gang renews tickets before they expire. Urgent steps may use all policy time, others leave a quarter and renewals a half of it free. Reservations go by data, mixed load and then the most free resources.

--- a/crates/zinnia-control/src/leader.rs
+++ b/crates/zinnia-control/src/leader.rs
@@ -12,6 +12,7 @@
 use zinnia_plan::Plan;
 use zinnia_plan::PolicyQuery;
 use zinnia_plan::Poll;
+use zinnia_plan::QueryBudget;
 use zinnia_plan::Record;
 use zinnia_plan::Reply;
 use zinnia_plan::StartOrder;
@@ -121,11 +122,12 @@
     }
     let leader = cell.leader.as_mut()?;
     let may_start = !starts_pending.load(Ordering::Relaxed);
-    let usable = cell.policy_clients.values().filter(|c| c.is_usable(now));
-    let query_ms = usable
-        .map(|c| MAX_QUERY_LOAD_MS.saturating_sub(c.load_ms))
-        .sum();
-    Some(leader.plan(&cell.state, may_start, query_ms, now, clock::wall_ms()))
+    let mut budget = QueryBudget::default();
+    for client in cell.policy_clients.values().filter(|c| c.is_usable(now)) {
+        budget.free_ms += MAX_QUERY_LOAD_MS.saturating_sub(client.load_ms);
+        budget.total_ms += MAX_QUERY_LOAD_MS;
+    }
+    Some(leader.plan(&cell.state, may_start, budget, now, clock::wall_ms()))
 }
 
 fn execute_plan(
--- a/crates/zinnia-plan/src/gang.rs
+++ b/crates/zinnia-plan/src/gang.rs
@@ -1,5 +1,6 @@
 //! Placement of gangs, whose tasks start all together or not at all.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
 use crate::Plan;
@@ -7,9 +8,12 @@
 use crate::Resources;
 use crate::Worker;
 use crate::capacity::WorkerCapacity;
+use crate::placement::MAX_QUERY_WORKERS;
 use crate::placement::PlacementPass;
 use crate::placement::WaitingStep;
 use crate::policy::PolicyDecisions;
+use crate::policy::QueryPurpose;
+use crate::policy::Readiness;
 use crate::worker_index::WorkerIndex;
 
 /// Maximum number of gangs per pool with reserved resources. A reservation exceeds what the gang
@@ -18,15 +22,16 @@
 const MAX_GANG_RESERVATIONS: usize = 2;
 /// Waiting time after which resources are reserved for a gang.
 const RESERVE_DELAY_MS: i64 = 500;
+/// Time that a query to the policy may take beyond its cost, when tickets are to be renewed in time.
+const QUERY_SLACK_MS: u64 = 200;
 /// How long a gang waits for enough resources in one rack before it is spread over several racks.
 const RACK_WAIT_MS: i64 = 2_000;
 
 impl<'a> PlacementPass<'a> {
     /// Places a gang that needs tickets.
     ///
-    /// Tickets are valid for a short time only. They are renewed once the workers that the policy
-    /// allows have enough free resources for the whole gang, and these are reserved until the
-    /// policy answers.
+    /// Tickets are valid for a short time only. Once the workers that the policy allows have enough
+    /// free resources for the whole gang, these are reserved until all of them have a ticket.
     pub(crate) fn place_ticketed_gang(
         &mut self,
         decisions: &mut PolicyDecisions,
@@ -39,31 +44,88 @@
             return;
         }
         let granted = decisions.granted.iter().copied();
-        let mut available = self.available_among(waiting, granted);
-        available.sort_by_key(|w| decisions.ticket(*w, now).is_none());
-        let choice = self.select_workers(waiting, &available);
-        if let Some(choice) = &choice {
-            if choice.iter().all(|w| decisions.ticket(*w, now).is_some()) {
-                self.start_gang(waiting, choice, plan);
-                return;
-            }
-            self.reserve(waiting, choice);
+        let available = self.available_among(waiting, granted);
+        let readiness = |w| decisions.readiness(w, now);
+        let Some(mut choice) = self.select_workers(waiting, &available, readiness) else {
+            self.prepare_gang(decisions, waiting, policy, plan);
+            return;
+        };
+        if choice.iter().all(|w| readiness(*w) == Readiness::Ticketed) {
+            self.start_gang(waiting, &choice, plan);
+            return;
         }
-        let may_query = decisions.may_query(now, plan);
-        let mut workers = match choice {
-            Some(choice) => choice,
-            None if may_query || self.may_reserve(waiting) => {
-                let eligible_workers = self.eligible_workers(waiting);
-                let mut granted = eligible_workers.clone();
-                granted.retain(|w| decisions.granted.contains(w));
-                self.reserve_for_gang(waiting, &granted);
-                self.undecided_workers(waiting, decisions, eligible_workers)
+        self.reserve(waiting, &choice);
+        choice.dedup();
+        let expiring = self.expiring_tickets(decisions, choice, policy);
+        let purpose = waiting.query_purpose();
+        self.query_in_parts(decisions, waiting, &expiring, purpose, policy, plan);
+    }
+
+    /// Prepares the start of a gang that finds not enough resources on the workers that the policy
+    /// allows.
+    ///
+    /// The policy is queried about all workers at once, through several processes: a gang needs many
+    /// of them, and one query after the other would delay it several times. Later queries keep the
+    /// tickets valid, so that the gang starts as soon as its workers have enough free resources.
+    fn prepare_gang(
+        &mut self,
+        decisions: &mut PolicyDecisions,
+        waiting: &WaitingStep<'a>,
+        policy: &Policy,
+        plan: &mut Plan,
+    ) {
+        let may_query = |purpose| decisions.may_query(purpose, self.now, plan);
+        if !may_query(waiting.query_purpose()) && !self.may_reserve(waiting) {
+            return;
+        }
+        let eligible_workers = self.eligible_workers(waiting);
+        let mut granted = eligible_workers.clone();
+        granted.retain(|w| decisions.granted.contains(w));
+        self.reserve_for_gang(waiting, &granted);
+        let undecided = self.undecided_workers(waiting, decisions, eligible_workers);
+        let (workers, purpose) = match undecided.is_empty() {
+            false => (undecided, waiting.query_purpose()),
+            true => {
+                let expiring = self.expiring_tickets(decisions, granted, policy);
+                (expiring, QueryPurpose::Renewal)
             }
-            None => return,
         };
-        workers.dedup();
-        if may_query {
-            self.query_policy(decisions, waiting, workers, policy, plan);
+        self.query_in_parts(decisions, waiting, &workers, purpose, policy, plan);
+    }
+
+    /// Those of `workers` whose tickets expire before the answer to a query, and that are in no open
+    /// query.
+    fn expiring_tickets(
+        &self,
+        decisions: &PolicyDecisions,
+        mut workers: Vec<WorkerIndex>,
+        policy: &Policy,
+    ) -> Vec<WorkerIndex> {
+        let query_ms = policy.cost_ms(workers.len().min(MAX_QUERY_WORKERS));
+        let answer_at = self.now.after(query_ms + QUERY_SLACK_MS);
+        workers.retain(|w| {
+            !decisions.queried.contains(w) && decisions.ticket(*w, answer_at).is_none()
+        });
+        workers
+    }
+
+    /// Queries the policy about these workers, in parts of similar size.
+    fn query_in_parts(
+        &self,
+        decisions: &mut PolicyDecisions,
+        waiting: &WaitingStep<'_>,
+        workers: &[WorkerIndex],
+        purpose: QueryPurpose,
+        policy: &Policy,
+        plan: &mut Plan,
+    ) {
+        let parts = workers.len().div_ceil(MAX_QUERY_WORKERS).max(1);
+        let size = workers.len().div_ceil(parts).max(1);
+        for part in workers.chunks(size) {
+            if !decisions.may_query(purpose, self.now, plan) {
+                return;
+            }
+            self.query_policy(decisions, waiting, part, policy, plan);
         }
     }
 
@@ -86,17 +148,20 @@
     }
 
     /// Reserves resources for a waiting gang, since smaller tasks would otherwise take whatever
-    /// becomes free.
+    /// becomes free. Of workers that suit equally well, those with the most free resources are used.
     fn reserve_for_gang(&mut self, waiting: &WaitingStep<'a>, workers: &[WorkerIndex]) {
         if !self.may_reserve(waiting) {
             return;
         }
         let reservations = self.gang_reservations.entry(&waiting.queue.pool);
         *reservations.or_default() += 1;
-        // Within a failure domain the workers are sorted by free resources in ascending order, so
-        // the reverse order prefers those with the most.
-        let workers = workers.iter().rev().copied();
-        let chosen = self.fit_members(waiting, workers, |c| {
+        let mut workers = workers.to_vec();
+        workers.sort_by_cached_key(|w| {
+            let capacity = self.capacities.get(*w);
+            let suitability = capacity.and_then(|c| self.suitability(waiting, c));
+            suitability.map(|s| (s.data_remote, s.mixed_load, Reverse(s.free)))
+        });
+        let chosen = self.fit_members(waiting, workers.into_iter(), |c| {
             c.worker.incarnation.resources.minus(&c.reserved)
         });
         self.reserve(waiting, &chosen);
@@ -107,39 +172,44 @@
         if !self.within_team_limit(waiting, waiting.state.tasks.len() as u64) {
             return;
         }
-        match self.select_workers(waiting, &self.available_workers(waiting)) {
+        let available = self.available_workers(waiting);
+        match self.select_workers(waiting, &available, |_| Readiness::Ticketed) {
             Some(choice) => self.start_gang(waiting, &choice, plan),
             None => self.reserve_for_gang(waiting, &self.eligible_workers(waiting)),
         }
     }
 
-    /// Selects a worker for each member of a gang, if all of them fit.
+    /// Selects a worker for each member of a gang, if all of them fit. Workers on which it can start
+    /// soonest are preferred.
     fn select_workers(
         &self,
         waiting: &WaitingStep<'_>,
         available: &[WorkerIndex],
+        readiness: impl Fn(WorkerIndex) -> Readiness,
     ) -> Option<Vec<WorkerIndex>> {
         let count = waiting.state.tasks.len();
-        let if_complete = |workers: Vec<WorkerIndex>| (workers.len() == count).then_some(workers);
+        let mut available = available.to_vec();
+        available.sort_by_cached_key(|w| readiness(*w));
+        let select = |workers: &mut dyn Iterator<Item = WorkerIndex>| {
+            let chosen = self.fit_members(waiting, workers, WorkerCapacity::unreserved);
+            (chosen.len() == count).then_some(chosen)
+        };
         if waiting.step.same_rack && count > 1 {
             let racks: BTreeSet<&str> = available.iter().filter_map(|w| self.rack(*w)).collect();
-            let choice = racks.into_iter().find_map(|rack| {
-                let in_rack = available
-                    .iter()
-                    .copied()
-                    .filter(|w| self.rack(*w) == Some(rack));
-                if_complete(self.fit_members(waiting, in_rack, WorkerCapacity::unreserved))
-            });
+            let in_rack = |rack| {
+                let is_in_rack = |w: &WorkerIndex| self.rack(*w) == Some(rack);
+                select(&mut available.iter().copied().filter(is_in_rack))
+            };
+            // Always the first rack with enough resources would change the choice, and so the
+            // tickets that the gang waits for, whenever a rack gets or loses resources.
+            let last_ready = |choice: &Vec<WorkerIndex>| choice.iter().map(|w| readiness(*w)).max();
+            let choice = racks.into_iter().filter_map(in_rack).min_by_key(last_ready);
             let waited = self.wall_ms - waiting.job.accepted_ms;
             if choice.is_some() || waited < RACK_WAIT_MS {
                 return choice;
             }
         }
-        if_complete(self.fit_members(
-            waiting,
-            available.iter().copied(),
-            WorkerCapacity::unreserved,
-        ))
+        select(&mut available.iter().copied())
     }
 
     fn start_gang(&mut self, waiting: &WaitingStep<'a>, choice: &[WorkerIndex], plan: &mut Plan) {
--- a/crates/zinnia-plan/src/headroom.rs
+++ b/crates/zinnia-plan/src/headroom.rs
@@ -28,7 +28,8 @@
 const TEAM_HEADROOM_MS: u64 = 10_000;
 
 impl Queue {
-    fn is_urgent(&self) -> bool {
+    /// Whether tasks of the queue start before those of all other queues.
+    pub(crate) fn is_urgent(&self) -> bool {
         self.priority == URGENT_PRIORITY
     }
 }
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -9,6 +9,7 @@
 use crate::Plan;
 use crate::PolicyQuery;
 use crate::Poll;
+use crate::QueryBudget;
 use crate::Record;
 use crate::Report;
 use crate::RunOrder;
@@ -352,18 +353,17 @@
 
     /// Runs one planning pass.
     ///
-    /// `starts` tells whether the pass may start tasks. `query_ms` is the policy time, in
-    /// milliseconds, that new queries may use beside the open ones.
+    /// `starts` tells whether the pass may start tasks.
     pub fn plan(
         &mut self,
         state: &State,
         starts: bool,
-        query_ms: u64,
+        query_budget: QueryBudget,
         now: Time,
         wall_ms: i64,
     ) -> Plan {
         let mut plan = Plan {
-            query_ms,
+            query_budget,
             ..Plan::default()
         };
         if self
--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -47,6 +47,7 @@
 pub use plan::StartOrder;
 pub use plan::StartOutcome;
 pub use policy::PolicyQuery;
+pub use policy::QueryBudget;
 pub use record::Batch;
 pub use record::End;
 pub use record::EndReason;
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -21,11 +21,12 @@
 use crate::capacity::WorkerCapacity;
 use crate::headroom::UrgentWork;
 use crate::policy::PolicyDecisions;
+use crate::policy::QueryPurpose;
 use crate::worker_index::WorkerIndex;
 use crate::worker_index::WorkerIndices;
 
 /// Maximum number of workers in one query to the placement policy.
-const MAX_QUERY_WORKERS: usize = 30;
+pub(crate) const MAX_QUERY_WORKERS: usize = 30;
 
 /// A step with tasks that wait for a worker.
 pub(crate) struct WaitingStep<'a> {
@@ -38,6 +39,31 @@
     expired: bool,
 }
 
+impl WaitingStep<'_> {
+    /// Purpose of a query that lets tasks of the step start.
+    pub(crate) fn query_purpose(&self) -> QueryPurpose {
+        match self.queue.is_urgent() {
+            true => QueryPurpose::Urgent,
+            false => QueryPurpose::Start,
+        }
+    }
+}
+
+/// How well a worker suits a task, best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Suitability {
+    /// Whether the task's data is in another rack.
+    pub(crate) data_remote: bool,
+    /// Whether the task serves user requests and the worker runs best-effort tasks.
+    pub(crate) mixed_load: bool,
+    /// Distance from the first domain of the job. Keeping the tasks of a job in one failure domain
+    /// means that only the loss of that domain delays the job. The first domain depends on the job
+    /// id, so that jobs use different domains.
+    domain: u64,
+    /// Free accelerators and processor time; the fullest worker comes first.
+    pub(crate) free: (u64, u64),
+}
+
 /// Decisions of the placement policy about the steps of live jobs.
 pub(crate) type Decisions = BTreeMap<StepId, PolicyDecisions>;
 
@@ -198,11 +224,11 @@
             self.mark_queried(waiting, &decisions.queried, unplaced);
             return;
         }
-        if !decisions.may_query(self.now, plan) {
+        if !decisions.may_query(waiting.query_purpose(), self.now, plan) {
             return;
         }
         let workers = self.query_candidates(waiting, decisions);
-        self.query_policy(decisions, waiting, workers, policy, plan);
+        self.query_policy(decisions, waiting, &workers, policy, plan);
         self.mark_queried(waiting, &decisions.queried, unplaced);
     }
 
@@ -211,7 +237,7 @@
         &self,
         decisions: &mut PolicyDecisions,
         waiting: &WaitingStep<'_>,
-        workers: Vec<WorkerIndex>,
+        workers: &[WorkerIndex],
         policy: &Policy,
         plan: &mut Plan,
     ) {
@@ -254,30 +280,39 @@
         workers: impl Iterator<Item = WorkerIndex>,
         pick: impl Fn(&WorkerCapacity<'a>) -> bool,
     ) -> Vec<WorkerIndex> {
-        let step = waiting.step;
-        // Keeping the tasks of a job in one failure domain means that only the loss of that domain
-        // delays the job. The first domain depends on the job id, so that jobs use different
-        // domains.
-        let domains = self.capacities.domains;
-        let domain_offset = waiting.id.job.0 % domains;
-        let rank = |index: WorkerIndex| {
-            let capacity = self.capacities.get(index)?;
-            let incarnation = &capacity.worker.incarnation;
-            let is_match = pick(capacity)
-                && incarnation.resources.fits(&step.resources)
-                && !(step.best_effort && capacity.services)
-                && incarnation.pool == waiting.queue.pool
-                && (step.label.is_empty() || incarnation.labels.contains(&step.label));
-            let data_remote =
-                !step.data_rack.is_empty() && incarnation.rack() != Some(step.data_rack.as_str());
-            let mixed_load = step.is_service() && capacity.best_effort;
-            let domain = (capacity.domain + domain_offset) % domains;
-            let free = (capacity.free.gpu, capacity.free.cpu);
-            is_match.then_some((data_remote, mixed_load, domain, free, index))
+        let suitable = |index| {
+            let capacity = self.capacities.get(index).filter(|c| pick(c))?;
+            Some((self.suitability(waiting, capacity)?, index))
         };
-        let mut rows: Vec<_> = workers.filter_map(rank).collect();
+        let mut rows: Vec<_> = workers.filter_map(suitable).collect();
         rows.sort_unstable();
-        rows.into_iter().map(|row| row.4).collect()
+        rows.into_iter().map(|(_, index)| index).collect()
+    }
+
+    /// Compares a worker with others for a task of the step; `None` if it cannot run the task.
+    pub(crate) fn suitability(
+        &self,
+        waiting: &WaitingStep<'_>,
+        capacity: &WorkerCapacity<'_>,
+    ) -> Option<Suitability> {
+        let step = waiting.step;
+        let incarnation = &capacity.worker.incarnation;
+        let is_match = incarnation.resources.fits(&step.resources)
+            && !(step.best_effort && capacity.services)
+            && incarnation.pool == waiting.queue.pool
+            && (step.label.is_empty() || incarnation.labels.contains(&step.label));
+        if !is_match {
+            return None;
+        }
+        let domains = self.capacities.domains;
+        let first_domain = waiting.id.job.0 % domains;
+        Some(Suitability {
+            data_remote: !step.data_rack.is_empty()
+                && incarnation.rack() != Some(step.data_rack.as_str()),
+            mixed_load: step.is_service() && capacity.best_effort,
+            domain: (capacity.domain + first_domain) % domains,
+            free: (capacity.free.gpu, capacity.free.cpu),
+        })
     }
 
     fn has_capacity(&self, waiting: &WaitingStep<'_>, worker: WorkerIndex) -> bool {
@@ -317,23 +352,22 @@
         };
         let mut workers: Vec<_> = eligible_workers.iter().copied().filter(renew).collect();
         if workers.is_empty() {
-            return self.undecided_workers(waiting, decisions, eligible_workers);
+            workers = self.undecided_workers(waiting, decisions, eligible_workers);
         }
         workers.truncate(MAX_QUERY_WORKERS);
         workers
     }
 
-    /// Those of the eligible workers on which the policy has not decided yet; workers with free
-    /// resources come first.
+    /// Those of the eligible workers on which the policy has not decided yet and is not being
+    /// queried; workers with free resources come first.
     pub(crate) fn undecided_workers(
         &self,
         waiting: &WaitingStep<'_>,
         decisions: &PolicyDecisions,
         mut workers: Vec<WorkerIndex>,
     ) -> Vec<WorkerIndex> {
-        workers.retain(|w| !decisions.granted.contains(w) && !decisions.denied.contains(w));
+        workers.retain(|w| decisions.is_undecided(*w));
         workers.sort_by_key(|w| !self.has_unqueried_capacity(waiting, *w));
-        workers.truncate(MAX_QUERY_WORKERS);
         workers
     }
 
--- a/crates/zinnia-plan/src/plan.rs
+++ b/crates/zinnia-plan/src/plan.rs
@@ -3,6 +3,7 @@
 use zinnia_types::Time;
 
 use crate::PolicyQuery;
+use crate::QueryBudget;
 use crate::Record;
 use crate::Start;
 use crate::TaskId;
@@ -125,8 +126,8 @@
     pub starts: Vec<Start>,
     /// Queries to the placement policy.
     pub queries: Vec<PolicyQuery>,
-    /// Policy time, in milliseconds, that further queries of this pass may use.
-    pub query_ms: u64,
+    /// Policy time that further queries of this pass may use.
+    pub query_budget: QueryBudget,
     /// Polls to send to workers.
     pub polls: Vec<Poll>,
     /// Runs to stop.
--- a/crates/zinnia-plan/src/policy.rs
+++ b/crates/zinnia-plan/src/policy.rs
@@ -29,6 +29,41 @@
     pub valid_ms: u64,
 }
 
+/// Purpose of a query, which decides how much of the policy time it may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum QueryPurpose {
+    /// Start of an urgent task.
+    Urgent,
+    /// Start of any other task.
+    Start,
+    /// Renewal of tickets for a gang that waits for resources.
+    Renewal,
+}
+
+/// Policy time, in milliseconds, of all processes that send queries.
+///
+/// The policy handles the queries of one process one after the other, so a query waits behind
+/// longer ones. Queries that are not urgent therefore leave a part of the processes free.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QueryBudget {
+    /// Time that new queries may use beside the open ones.
+    pub free_ms: u64,
+    /// Time that all queries may use.
+    pub total_ms: u64,
+}
+
+impl QueryBudget {
+    /// Whether another query with this purpose may be sent.
+    pub(crate) fn allows(&self, purpose: QueryPurpose) -> bool {
+        let left_for_others = match purpose {
+            QueryPurpose::Urgent => 0,
+            QueryPurpose::Start => self.total_ms / 4,
+            QueryPurpose::Renewal => self.total_ms / 2,
+        };
+        self.free_ms > left_for_others
+    }
+}
+
 #[derive(Debug)]
 struct Ticket {
     text: String,
@@ -42,6 +77,17 @@
     }
 }
 
+/// How far a start of a step on a worker is from being allowed, best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Readiness {
+    /// There is a ticket, or the step needs none.
+    Ticketed,
+    /// The policy is being queried about the worker.
+    Queried,
+    /// The policy has to be queried.
+    NeedsQuery,
+}
+
 /// The policy's decisions about one step.
 #[derive(Debug, Default)]
 pub(crate) struct PolicyDecisions {
@@ -49,7 +95,7 @@
     /// Workers that may run the step; their tickets may have expired.
     pub(crate) granted: BTreeSet<WorkerIndex>,
     pub(crate) denied: BTreeSet<WorkerIndex>,
-    /// Workers in the open query; empty without an open query.
+    /// Workers in open queries, in the order of the queries.
     pub(crate) queried: Vec<WorkerIndex>,
     pub(crate) retry_at: Time,
 }
@@ -67,9 +113,27 @@
         usable.map(|(worker, _)| *worker)
     }
 
-    /// Whether the step may be queried now.
-    pub(crate) fn may_query(&self, now: Time, plan: &Plan) -> bool {
-        self.queried.is_empty() && now >= self.retry_at && plan.query_ms > 0
+    /// How far a start on the worker is from being allowed.
+    pub(crate) fn readiness(&self, worker: WorkerIndex, now: Time) -> Readiness {
+        if self.ticket(worker, now).is_some() {
+            return Readiness::Ticketed;
+        }
+        match self.queried.contains(&worker) {
+            true => Readiness::Queried,
+            false => Readiness::NeedsQuery,
+        }
+    }
+
+    /// Whether the policy has not decided on the worker and is not being queried about it.
+    pub(crate) fn is_undecided(&self, worker: WorkerIndex) -> bool {
+        !self.granted.contains(&worker)
+            && !self.denied.contains(&worker)
+            && !self.queried.contains(&worker)
+    }
+
+    /// Whether a new query for this purpose may be sent now.
+    pub(crate) fn may_query(&self, purpose: QueryPurpose, now: Time, plan: &Plan) -> bool {
+        now >= self.retry_at && plan.query_budget.allows(purpose)
     }
 
     /// Adds a query about these workers to the plan; does nothing without workers. `names` are
@@ -77,7 +141,7 @@
     pub(crate) fn query(
         &mut self,
         step: StepId,
-        workers: Vec<WorkerIndex>,
+        workers: &[WorkerIndex],
         names: Vec<String>,
         policy: &Policy,
         plan: &mut Plan,
@@ -85,9 +149,15 @@
         if workers.is_empty() {
             return;
         }
-        let query = new_query(step, names, policy);
-        plan.query_ms = plan.query_ms.saturating_sub(query.cost_ms);
-        self.queried = workers;
+        let query = PolicyQuery {
+            step,
+            workers: names,
+            cost_ms: policy.cost_ms(workers.len()),
+            valid_ms: policy.valid_ms,
+        };
+        let free_ms = &mut plan.query_budget.free_ms;
+        *free_ms = free_ms.saturating_sub(query.cost_ms);
+        self.queried.extend(workers);
         plan.queries.push(query);
     }
 
@@ -104,12 +174,17 @@
         indices: &WorkerIndices,
         now: Time,
     ) {
-        self.queried.clear();
+        let workers: Vec<_> = query
+            .workers
+            .iter()
+            .filter_map(|w| indices.get(w))
+            .collect();
+        self.queried.retain(|w| !workers.contains(w));
         let Some(granted) = granted else {
             self.retry_at = now.after(QUERY_RETRY_MS);
             return;
         };
-        for worker in query.workers.iter().filter_map(|w| indices.get(w)) {
+        for worker in workers {
             self.granted.remove(&worker);
             self.denied.insert(worker);
         }
@@ -127,19 +202,17 @@
     }
 }
 
-fn new_query(step: StepId, workers: Vec<String>, policy: &Policy) -> PolicyQuery {
-    let count = u32::try_from(workers.len()).unwrap_or(u32::MAX);
-    let cost = policy.base_ms + policy.worker_ms * f64::from(count);
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a query takes a few seconds at most"
-    )]
-    let cost_ms = cost.max(0.0) as u64;
-    PolicyQuery {
-        step,
-        workers,
-        cost_ms,
-        valid_ms: policy.valid_ms,
+impl Policy {
+    /// Time that the policy needs for a query about this many workers.
+    pub(crate) fn cost_ms(&self, workers: usize) -> u64 {
+        let count = u32::try_from(workers).unwrap_or(u32::MAX);
+        let cost = self.base_ms + self.worker_ms * f64::from(count);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a query takes a few seconds at most"
+        )]
+        let cost_ms = cost.max(0.0) as u64;
+        cost_ms
     }
 }
--- a/crates/zinnia-plan/tests/common/mod.rs
+++ b/crates/zinnia-plan/tests/common/mod.rs
@@ -21,6 +21,7 @@
 use zinnia_plan::Policy;
 use zinnia_plan::Poll;
 use zinnia_plan::Pool;
+use zinnia_plan::QueryBudget;
 use zinnia_plan::Queue;
 use zinnia_plan::Record;
 use zinnia_plan::Reply;
@@ -37,6 +38,12 @@
 use zinnia_types::JobId;
 use zinnia_types::Time;
 
+/// Policy time of processes without open queries.
+pub(crate) const QUERY_BUDGET: QueryBudget = QueryBudget {
+    free_ms: 10_000,
+    total_ms: 10_000,
+};
+
 /// Milliseconds by which the workers' clocks are ahead of the leader's.
 pub(crate) const WORKER_CLOCK_LEAD_MS: u64 = 50_000;
 
@@ -181,7 +188,7 @@
     pub(crate) fn plan(&mut self) -> Plan {
         let wall = i64::try_from(self.now).unwrap();
         self.leader
-            .plan(&self.state, true, 1_000, Time(self.now), wall)
+            .plan(&self.state, true, QUERY_BUDGET, Time(self.now), wall)
     }
 
     /// Processes a worker's answer to a poll and applies the resulting records.
--- a/crates/zinnia-plan/tests/placement.rs
+++ b/crates/zinnia-plan/tests/placement.rs
@@ -8,6 +8,8 @@
 use common::job;
 use common::step;
 use zinnia_plan::Policy;
+use zinnia_plan::PolicyQuery;
+use zinnia_plan::QueryBudget;
 use zinnia_types::Time;
 
 const POLICY: Policy = Policy {
@@ -36,16 +38,59 @@
     assert_eq!(orders[0].ticket, "ticket");
 }
 
-/// Guards against queries that overtake more urgent ones in the queue of the policy.
+/// Guards against queries that overtake more urgent ones in the queue of the policy, and against
+/// urgent ones that wait because others use all processes that send queries.
 #[test]
 fn queries_respect_policy_budget() {
-    let mut sim = Simulation::new(document(Some(POLICY)));
-    sim.add_worker(&incarnation("w", 4_000));
-    sim.submit(job(vec![step(1, 1_000)]));
-    let wall = i64::try_from(sim.now).unwrap();
-    let plan = sim.leader.plan(&sim.state, true, 0, Time(sim.now), wall);
-    assert!(plan.queries.is_empty());
-    assert_eq!(sim.plan().queries.len(), 1);
+    struct Case {
+        name: &'static str,
+        priority: u32,
+        free_ms: u64,
+        queries: usize,
+    }
+    let cases = [
+        Case {
+            name: "urgent, nothing free",
+            priority: 0,
+            free_ms: 0,
+            queries: 0,
+        },
+        Case {
+            name: "urgent, little free",
+            priority: 0,
+            free_ms: 100,
+            queries: 1,
+        },
+        Case {
+            name: "not urgent, little free",
+            priority: 1,
+            free_ms: 100,
+            queries: 0,
+        },
+        Case {
+            name: "not urgent, half free",
+            priority: 1,
+            free_ms: 500,
+            queries: 1,
+        },
+    ];
+    for case in cases {
+        let mut doc = document(Some(POLICY));
+        doc.queues[0].priority = case.priority;
+        let mut sim = Simulation::new(doc);
+        sim.add_worker(&incarnation("w", 4_000));
+        sim.submit(job(vec![step(1, 1_000)]));
+        let budget = QueryBudget {
+            free_ms: case.free_ms,
+            total_ms: 1_000,
+        };
+        let wall = i64::try_from(sim.now).unwrap();
+        let plan = sim
+            .leader
+            .plan(&sim.state, true, budget, Time(sim.now), wall);
+        assert_eq!(plan.queries.len(), case.queries, "{}", case.name);
+        assert_eq!(plan.starts, [], "{}", case.name);
+    }
 }
 
 /// Guards against starts beyond the capacity of a worker, the limit of a team or the maximum number
@@ -396,3 +441,133 @@
         assert_eq!(sim.start_tasks().len(), case.started, "{}", case.name);
     }
 }
+
+/// Answers a query: the policy allows the workers for which `allows` is true.
+fn answer(sim: &mut Simulation, query: &PolicyQuery, allows: impl Fn(&str) -> bool) {
+    let allowed = query.workers.iter().filter(|w| allows(w));
+    let tickets = allowed.map(|w| (w.clone(), "ticket".to_owned())).collect();
+    sim.leader
+        .policy_answered(query, Some(tickets), Time(sim.now));
+}
+
+fn gang(count: u32, cpu: u64) -> zinnia_plan::Step {
+    zinnia_plan::Step {
+        gang: true,
+        ..step(count, cpu)
+    }
+}
+
+/// Guards against a gang that starts late because the policy is queried about its workers one part
+/// after the other.
+#[test]
+fn policy_is_queried_about_all_workers_of_a_gang_at_once() {
+    let mut sim = Simulation::new(document(Some(POLICY)));
+    let names: Vec<String> = (0..70).map(|n| format!("w{n:02}")).collect();
+    for name in &names {
+        sim.add_worker(&incarnation(name, 4_000));
+    }
+    sim.submit(job(vec![gang(3, 4_000)]));
+    let queries = sim.plan().queries;
+    let mut queried: Vec<_> = queries.iter().flat_map(|q| q.workers.clone()).collect();
+    queried.sort_unstable();
+    assert_eq!(queried, names);
+    assert!(queries.iter().all(|q| q.workers.len() <= 30));
+    assert_eq!(sim.plan().queries, [], "no worker is queried twice");
+    for query in &queries {
+        answer(&mut sim, query, |w| w.ends_with('7'));
+    }
+    assert_eq!(sim.start_tasks().len(), 3);
+}
+
+/// Guards against a gang that never starts: while the policy is queried about the chosen workers,
+/// other workers become free, and the gang would choose those and need tickets again.
+#[test]
+fn gang_keeps_the_workers_that_it_waits_for() {
+    let mut doc = document(Some(POLICY));
+    doc.queues.push(zinnia_plan::Queue {
+        name: "plain".to_owned(),
+        prefix: "/p/".to_owned(),
+        policy: None,
+        ..doc.queues[0].clone()
+    });
+    let mut sim = Simulation::new(doc);
+    for (name, rack) in [("a", "r1"), ("b", "r1"), ("c", "r2"), ("d", "r2")] {
+        sim.add_worker(&zinnia_plan::Incarnation {
+            labels: vec!["a".to_owned(), rack.to_owned()],
+            ..incarnation(name, 1_000)
+        });
+    }
+    sim.submit_to("plain", 2, job(vec![step(4, 1_000)]));
+    let busy = sim.start_tasks();
+    assert_eq!(busy.len(), 4);
+    let same_rack = zinnia_plan::Step {
+        same_rack: true,
+        ..gang(2, 1_000)
+    };
+    sim.submit(job(vec![same_rack]));
+    let query = sim.plan().queries.pop().expect("the policy is queried");
+    answer(&mut sim, &query, |_| true);
+    sim.now += POLICY.valid_ms;
+    for name in ["a", "b", "c", "d"] {
+        sim.heartbeat(&incarnation(name, 1_000), 2, false);
+    }
+    let release = |sim: &mut Simulation, rack: [&str; 2]| {
+        let ended = busy.iter().map(|o| &o.common);
+        for run in ended.filter(|o| rack.contains(&o.worker.as_str())) {
+            let done = zinnia_plan::EndReason::Done;
+            sim.end(&run.worker, 1, run.task, run.run, done);
+        }
+    };
+    release(&mut sim, ["c", "d"]);
+    let query = sim.plan().queries.pop().expect("tickets are renewed");
+    release(&mut sim, ["a", "b"]);
+    assert_eq!(sim.plan().starts, [], "the tickets are not there yet");
+    answer(&mut sim, &query, |_| true);
+    assert_eq!(sim.start_tasks().len(), 2, "the gang starts");
+}
+
+/// Guards against a gang that waits for the policy once more when its workers become free, because
+/// its tickets have expired meanwhile.
+#[test]
+fn waiting_gang_keeps_its_tickets_valid() {
+    let mut doc = document(Some(POLICY));
+    doc.queues.push(zinnia_plan::Queue {
+        name: "plain".to_owned(),
+        prefix: "/p/".to_owned(),
+        policy: None,
+        ..doc.queues[0].clone()
+    });
+    let mut sim = Simulation::new(doc);
+    for name in ["a", "b"] {
+        sim.add_worker(&incarnation(name, 1_000));
+    }
+    sim.submit_to("plain", 2, job(vec![step(1, 1_000)]));
+    let busy = sim.start_tasks().pop().expect("the first job is started");
+    sim.submit(job(vec![gang(2, 1_000)]));
+    let mut open: Vec<(u64, PolicyQuery)> = Vec::new();
+    for sequence in 2..60 {
+        let (due, later) = open.into_iter().partition(|(at, _)| *at <= sim.now);
+        open = later;
+        let due: Vec<(u64, PolicyQuery)> = due;
+        for (_, query) in due {
+            answer(&mut sim, &query, |_| true);
+        }
+        for name in ["a", "b"] {
+            sim.heartbeat(&incarnation(name, 1_000), sequence, false);
+        }
+        let plan = sim.plan();
+        assert_eq!(plan.starts, [], "one worker is busy");
+        let answers = plan.queries.into_iter().map(|q| (sim.now + q.cost_ms, q));
+        open.extend(answers);
+        sim.now += 100;
+    }
+    let run = busy.common;
+    sim.end(
+        &run.worker,
+        1,
+        run.task,
+        run.run,
+        zinnia_plan::EndReason::Done,
+    );
+    assert_eq!(sim.start_tasks().len(), 2, "the gang starts at once");
+}
