plan: stop a short task without progress earlier, by the worker's own clock

Change: the limit follows the estimated run time (a sixth of it, from 1 s or twice the time to read a checkpoint up to the 2.5 s of before), and a run that has not begun counts from its acceptance. Both times are readings of the worker's clock, so that a report that is late in transit stops nothing. Long-running tasks keep 2.5 s. Result: the new table fails without the change (a short task does not begin: not stopped).

--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -201,10 +201,11 @@
         let sent_order = view.orders.get_mut(&(order.task, order.run))?;
         match outcome {
             StartOutcome::Accepted { clock_ms } => {
-                sent_order.state = OrderState::Accepted(now);
+                let clock_ms = *clock_ms;
+                sent_order.state = OrderState::Accepted { at: now, clock_ms };
                 view.last_heard = now;
                 view.failed_calls = 0;
-                view.read_clock(*clock_ms, now);
+                view.read_clock(clock_ms, now);
                 None
             }
             StartOutcome::Refused { busy, .. } => {
@@ -298,7 +299,7 @@
             let order = view.orders.get(&(task, run));
             let settled = order.is_none_or(|o| {
                 o.fence < poll.fence
-                    || matches!(o.state, OrderState::Accepted(at) if at < poll.sent_at)
+                    || matches!(o.state, OrderState::Accepted { at, .. } if at < poll.sent_at)
             });
             if settled && order.is_none_or(|o| o.state != OrderState::Open) {
                 lost_runs.push((task, run, String::new()));
@@ -439,7 +440,7 @@
     /// Stops runs that stalled or are no longer wanted.
     fn stop_runs(&mut self, state: &State, now: Time, plan: &mut Plan) {
         let retry_ms = self.settings.retry_ms;
-        let (stall_ms, suspect_ms) = (self.settings.stall_ms, self.settings.suspect_ms);
+        let suspect_ms = self.settings.suspect_ms;
         for (name, view) in &mut self.views {
             let Some(worker) = view.current_worker(state, name) else {
                 continue;
@@ -453,7 +454,7 @@
                     .progress
                     .get(&(task, run))
                     .zip(state.step(task))
-                    .is_some_and(|(p, step)| p.is_stalled(step, stall_ms));
+                    .is_some_and(|(p, step)| p.is_stalled(step, &self.settings));
                 if stalled {
                     view.suspect_until = view.suspect_until.max(now.after(suspect_ms));
                 }
@@ -552,26 +553,36 @@
         (worker.incarnation.born == self.born).then_some(worker)
     }
 
+    /// Reading of the worker's clock when it accepted the start order of a run.
+    fn accepted_ms(&self, run: (TaskId, u32)) -> Option<u64> {
+        match self.orders.get(&run)?.state {
+            OrderState::Accepted { clock_ms, .. } => Some(clock_ms),
+            OrderState::Open | OrderState::Unknown => None,
+        }
+    }
+
     /// Records the progress of the reported runs and updates the start orders.
     fn apply_report(&mut self, report: &Report, now: Time) {
         let mut reported = BTreeMap::new();
         for run in &report.running {
             let key = (run.task, run.run);
-            let changed_at = match self.progress.get(&key) {
-                Some(p) if p.percent == run.percent => p.changed_at,
-                _ => now,
+            let clock_ms = report.clock_ms;
+            let changed_ms = match self.progress.get(&key) {
+                Some(p) if p.percent == run.percent => p.changed_ms,
+                None if run.percent == 0 => self.accepted_ms(key).unwrap_or(clock_ms),
+                _ => clock_ms,
             };
             let progress = Progress {
                 percent: run.percent,
-                changed_at,
-                reported_at: now,
+                changed_ms,
+                reported_ms: clock_ms,
                 checkpoint: run.checkpoint.clone(),
             };
             reported.insert(key, progress);
             if let Some(order) = self.orders.get_mut(&key)
                 && order.state == OrderState::Unknown
             {
-                order.state = OrderState::Accepted(now);
+                order.state = OrderState::Accepted { at: now, clock_ms };
             }
         }
         for end in &report.ended {
--- a/crates/zinnia-plan/src/plan.rs
+++ b/crates/zinnia-plan/src/plan.rs
@@ -22,8 +22,11 @@
     /// Interval between two stop orders for the same run, and delay before a failed poll is
     /// repeated.
     pub retry_ms: u64,
-    /// Time without progress after which a run counts as stalled.
-    pub stall_ms: u64,
+    /// Shortest time without progress after which a run counts as stalled. It must exceed the time in
+    /// which a task reads its checkpoint.
+    pub min_stall_ms: u64,
+    /// Longest time without progress after which a run counts as stalled.
+    pub max_stall_ms: u64,
     /// How long a worker gets no new tasks after it became suspect.
     pub suspect_ms: u64,
     /// Number of distinct jobs that must fail on a worker before it becomes suspect.
@@ -38,7 +41,8 @@
             poll_wait_ms: 1_500,
             silence_ms: 2_600,
             retry_ms: 400,
-            stall_ms: 2_500,
+            min_stall_ms: 1_000,
+            max_stall_ms: 2_500,
             suspect_ms: 5_000,
             suspect_jobs: 3,
         }
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -8,6 +8,7 @@
 
 use crate::End;
 use crate::Incarnation;
+use crate::Settings;
 use crate::Step;
 use crate::TaskId;
 use crate::worker_index::WorkerIndex;
@@ -15,6 +16,9 @@
 /// Maximum share, in percent, by which a worker's clock may run slow.
 const MAX_CLOCK_LAG_PERCENT: u64 = 2;
 
+/// A task counts as stalled when it makes no progress in its estimated run time divided by this.
+const MIN_SPEED_DIVISOR: u64 = 6;
+
 /// A worker's heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Heartbeat {
@@ -67,8 +71,13 @@
 pub(crate) enum OrderState {
     /// The order was sent and is not answered yet.
     Open,
-    /// The worker accepted the order at this time.
-    Accepted(Time),
+    /// The worker accepted the order.
+    Accepted {
+        /// When the answer arrived.
+        at: Time,
+        /// Reading of the worker's clock in the answer, in milliseconds.
+        clock_ms: u64,
+    },
     /// The order failed without an answer; the worker may still carry it out.
     Unknown,
 }
@@ -84,10 +93,11 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Progress {
     pub(crate) percent: u64,
-    /// When the percentage last changed.
-    pub(crate) changed_at: Time,
-    /// When the run was last reported.
-    pub(crate) reported_at: Time,
+    /// Reading of the worker's clock when the percentage last changed. Readings of one clock show
+    /// how long a run makes no progress also if a report is late.
+    pub(crate) changed_ms: u64,
+    /// Reading of the worker's clock in the last report of the run.
+    pub(crate) reported_ms: u64,
     pub(crate) checkpoint: String,
 }
 
@@ -95,10 +105,16 @@
     /// Whether the run makes no progress although its worker answers.
     ///
     /// Best-effort tasks and members of a gang may legitimately wait, for processor time or for
-    /// each other. A long-running task stays at 100 percent.
-    pub(crate) fn is_stalled(&self, step: &Step, stall_ms: u64) -> bool {
+    /// each other. A long-running task stays at 100 percent. A short task counts as stalled earlier
+    /// than a long one, since it progresses faster.
+    pub(crate) fn is_stalled(&self, step: &Step, settings: &Settings) -> bool {
         let may_wait = step.best_effort || (step.gang && self.percent == 0);
-        !may_wait && self.percent < 100 && self.reported_at.since(self.changed_at) >= stall_ms
+        let limit_ms = match step.long_running {
+            true => settings.max_stall_ms,
+            false => (step.estimate_ms / MIN_SPEED_DIVISOR).max(settings.min_stall_ms),
+        };
+        let unchanged_ms = self.reported_ms.saturating_sub(self.changed_ms);
+        !may_wait && self.percent < 100 && unchanged_ms >= limit_ms.min(settings.max_stall_ms)
     }
 }
 
--- a/crates/zinnia-plan/tests/common/mod.rs
+++ b/crates/zinnia-plan/tests/common/mod.rs
@@ -191,16 +191,33 @@
             .plan(&self.state, true, QUERY_BUDGET, Time(self.now), wall)
     }
 
+    /// Plans after a pause.
+    pub(crate) fn plan_after(&mut self, pause_ms: u64) -> Plan {
+        self.now += pause_ms;
+        self.plan()
+    }
+
     /// Processes a worker's answer to a poll and applies the resulting records.
     pub(crate) fn report(&mut self, poll: &Poll, running: &[(TaskId, u32)], ended: Vec<End>) {
-        self.answer(poll, running, ended, 10);
+        let report = Report {
+            ended,
+            ..self.running_report(poll, running, 10)
+        };
+        self.report_arrived(poll, &report);
     }
 
     pub(crate) fn report_percent(&mut self, poll: &Poll, running: &[(TaskId, u32)], percent: u64) {
-        self.answer(poll, running, Vec::new(), percent);
+        let report = self.running_report(poll, running, percent);
+        self.report_arrived(poll, &report);
     }
 
-    fn answer(&mut self, poll: &Poll, running: &[(TaskId, u32)], ended: Vec<End>, percent: u64) {
+    /// What a worker reports now about its runs, all of which have this progress.
+    pub(crate) fn running_report(
+        &self,
+        poll: &Poll,
+        running: &[(TaskId, u32)],
+        percent: u64,
+    ) -> Report {
         let row = |&(task, run): &(TaskId, u32)| ActiveRun {
             task,
             run,
@@ -208,16 +225,20 @@
             percent,
             load: 0,
         };
-        let report = Report {
+        Report {
             born: Some(poll.born),
             clock_ms: self.now + WORKER_CLOCK_LEAD_MS,
             running: running.iter().map(row).collect(),
-            ended,
+            ended: Vec::new(),
             partial: false,
-        };
+        }
+    }
+
+    /// Processes a report and applies the resulting records.
+    pub(crate) fn report_arrived(&mut self, poll: &Poll, report: &Report) {
         let records = self
             .leader
-            .poll_answered(&self.state, poll, Some(&report), Time(self.now));
+            .poll_answered(&self.state, poll, Some(report), Time(self.now));
         for record in records {
             self.apply(record);
         }
--- a/crates/zinnia-plan/tests/leader.rs
+++ b/crates/zinnia-plan/tests/leader.rs
@@ -214,6 +214,76 @@
     }
 }
 
+/// Guards against a short task that waits for as long as a long one until it is stopped on a worker
+/// that makes no progress, and against stopping a run because its report was late.
+#[test]
+fn short_task_without_progress_is_stopped_early() {
+    struct Case {
+        name: &'static str,
+        estimate_ms: u64,
+        /// For each report, the time since the start at which it arrives and at which the worker
+        /// wrote it, and the progress.
+        reports: Vec<(u64, u64, u64)>,
+        stopped: bool,
+    }
+    let cases = [
+        Case {
+            name: "a short task does not begin",
+            estimate_ms: 700,
+            reports: vec![(1_100, 1_100, 0)],
+            stopped: true,
+        },
+        Case {
+            name: "a short task stays where it is",
+            estimate_ms: 700,
+            reports: vec![(100, 100, 30), (1_200, 1_200, 30)],
+            stopped: true,
+        },
+        Case {
+            name: "a short task progresses slowly",
+            estimate_ms: 700,
+            reports: vec![(100, 100, 30), (1_200, 1_200, 31)],
+            stopped: false,
+        },
+        Case {
+            name: "a long task takes longer for a percent",
+            estimate_ms: 30_000,
+            reports: vec![(100, 100, 30), (1_500, 1_500, 30)],
+            stopped: false,
+        },
+        Case {
+            name: "a report from before the delay arrives late",
+            estimate_ms: 700,
+            reports: vec![(2_000, 50, 0)],
+            stopped: false,
+        },
+    ];
+    for case in cases {
+        let mut sim = Simulation::new(document(None));
+        sim.add_worker(&incarnation("w", 4_000));
+        sim.submit(job(vec![zinnia_plan::Step {
+            estimate_ms: case.estimate_ms,
+            ..step(1, 1_000)
+        }]));
+        let order = sim.start_tasks().pop().expect("the task is started");
+        let started = sim.now;
+        let clock_ms = started + WORKER_CLOCK_LEAD_MS;
+        sim.start_answered(&order, &StartOutcome::Accepted { clock_ms });
+        let mut stops = 0;
+        let mut plan = sim.plan();
+        for (arrival_ms, written_ms, percent) in case.reports {
+            let poll = plan.polls.pop().expect("the worker is polled");
+            sim.now = started + written_ms;
+            let report = sim.running_report(&poll, &[run_key(&order)], percent);
+            sim.now = started + arrival_ms;
+            sim.report_arrived(&poll, &report);
+            plan = sim.plan_after(50);
+            stops += plan.stops.len();
+        }
+        assert_eq!(stops > 0, case.stopped, "{}", case.name);
+    }
+}
+
 /// Guards against a task that runs twice because an order to the previous incarnation of a worker
 /// was carried out by the new one. Also guards against a poll with a fencing token below one that
 /// the worker has seen.
