control: hold back start orders without quorum contact

The planning loop checks the leader's lease, but a start that is committed while the process is paused (the answers of the quorum wait in its sockets) is prepared and sent when it wakes, with a fresh deadline, since the clock counts the pause. Another leader that cannot reach that worker waits 11 s and then starts the task elsewhere; the worker may run it again. A worker that the other leader reached rejects the order by its fencing token, so the case needs a pause of more than 11 s and a worker cut off from the new leader. Change: the lease is checked when the order is sent, after its deadline was set. Without it the order is not sent and counts as unanswered.

--- a/crates/zinnia-control/src/leader.rs
+++ b/crates/zinnia-control/src/leader.rs
@@ -177,7 +177,25 @@
     });
 }
 
+/// Returns the order if this process may still send it.
+fn confirm_start(context: &MemberContext, order: StartOrder) -> Option<StartOrder> {
+    let may_act = context.is_leader();
+    if !may_act {
+        tracing::warn!(
+            event = "start", task = %order.common.task, run = order.common.run,
+            worker = order.common.worker,
+            "start order is held back: this process has lost contact with the quorum"
+        );
+    }
+    let mut cell = context.cell_state();
+    let leader = cell.leader.as_mut()?;
+    leader.confirm_start(order, may_act, clock::now())
+}
+
 fn send_start(context: &Arc<MemberContext>, transport: &Transport, order: StartOrder) {
+    let Some(order) = confirm_start(context, order) else {
+        return;
+    };
     let run_order = order.common.clone();
     let outcome = (transport.start)(order);
     let context = Arc::clone(context);
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -181,6 +181,25 @@
         })
     }
 
+    /// Checks a prepared order right before it is sent; `may_act` tells whether no other process can
+    /// lead the cell.
+    ///
+    /// A process that was paused after a start was committed may find that another one leads and has
+    /// started the task elsewhere. Then the order is held back and counts as unanswered, so that a
+    /// process that still leads after all polls the worker and starts the task anew.
+    pub fn confirm_start(
+        &mut self,
+        order: StartOrder,
+        may_act: bool,
+        now: Time,
+    ) -> Option<StartOrder> {
+        if may_act {
+            return Some(order);
+        }
+        self.start_answered(&order.common, &StartOutcome::Unknown, now);
+        None
+    }
+
     /// Processes the outcome of a start order; returns the record to propose.
     pub fn start_answered(
         &mut self,
--- a/crates/zinnia-plan/tests/leader.rs
+++ b/crates/zinnia-plan/tests/leader.rs
@@ -152,6 +152,50 @@
     }
 }
 
+/// Guards against a process that was paused between the commit of a start and its order, and sends
+/// the order although another process leads and has started the task elsewhere.
+#[test]
+fn start_order_is_held_back_without_authority() {
+    struct Case {
+        name: &'static str,
+        may_act: bool,
+        sent: bool,
+    }
+    let cases = [
+        Case {
+            name: "the process leads",
+            may_act: true,
+            sent: true,
+        },
+        Case {
+            name: "another process may lead",
+            may_act: false,
+            sent: false,
+        },
+    ];
+    for case in cases {
+        let mut sim = Simulation::new(document(None));
+        sim.add_worker(&incarnation("w", 4_000));
+        sim.submit(job(vec![step(1, 1_000)]));
+        let order = sim.start_tasks().pop().expect("the task is started");
+        sim.now += 15_000;
+        let fence = order.common.fence;
+        let now = Time(sim.now);
+        let confirmed = sim.leader.confirm_start(order, case.may_act, now);
+        assert_eq!(confirmed.is_some(), case.sent, "{}", case.name);
+        if case.sent {
+            continue;
+        }
+        sim.heartbeat(&incarnation("w", 4_000), 2, false);
+        let plan = sim.plan();
+        assert_eq!(plan.starts, [], "the run may still be reported");
+        let poll = plan.polls.first().expect("the worker is polled");
+        assert!(poll.fence > fence, "the poll voids the order");
+        sim.report(poll, &[], Vec::new());
+        assert_eq!(sim.start_tasks().len(), 1, "the task is started anew");
+    }
+}
+
 /// Guards against a job that stalls on a worker that answers but makes no progress, and against
 /// stopping runs that wait for a valid reason.
 #[test]
