plan: gangs leave most of the policy's time to other steps

Its gangs have 20 members and 350 workers to be queried about, 12 queries of 0.6 s each for 4.3 gangs a second: 31 s of policy time a second with 44 processes, before renewals. They used up the share of the queries that are not urgent, and steps of low priority were never queried. Ruled out: headroom in the team's limit (the team of the lost task has under half of its limit). Change: only the first open query of a step may use most of the time; parallel ones leave a half and renewals three quarters free. Parallel queries are only about workers with free resources, and about 16 for each member. The test of parallel queries has a gang of 5 members now, which still needs all 70 workers.

--- a/crates/zinnia-plan/src/gang.rs
+++ b/crates/zinnia-plan/src/gang.rs
@@ -24,6 +24,9 @@
 const RESERVE_DELAY_MS: i64 = 500;
 /// Time that a query to the policy may take beyond its cost, when tickets are to be renewed in time.
 const QUERY_SLACK_MS: u64 = 200;
+/// Number of workers for each member of a gang about which the policy is queried at once. It may
+/// allow only some of them, and other tasks take resources until it answers.
+const QUERY_WORKERS_PER_MEMBER: usize = 16;
 /// How long a gang waits for enough resources in one rack before it is spread over several racks.
 const RACK_WAIT_MS: i64 = 2_000;
 
@@ -57,16 +60,16 @@
         self.reserve(waiting, &choice);
         choice.dedup();
         let expiring = self.expiring_tickets(decisions, choice, policy);
-        let purpose = waiting.query_purpose();
+        let purpose = waiting.query_purpose(decisions);
         self.query_in_parts(decisions, waiting, &expiring, purpose, policy, plan);
     }
 
     /// Prepares the start of a gang that finds not enough resources on the workers that the policy
     /// allows.
     ///
-    /// The policy is queried about all workers at once, through several processes: a gang needs many
-    /// of them, and one query after the other would delay it several times. Later queries keep the
-    /// tickets valid, so that the gang starts as soon as its workers have enough free resources.
+    /// The policy is queried about many workers with free resources at once, through several
+    /// processes: one query after the other would delay the gang several times. Once the policy has decided on all workers, tickets are kept valid, so that the gang
+    /// starts as soon as its workers have enough free resources.
     fn prepare_gang(
         &mut self,
         decisions: &mut PolicyDecisions,
@@ -74,23 +77,29 @@
         policy: &Policy,
         plan: &mut Plan,
     ) {
-        let may_query = |purpose| decisions.may_query(purpose, self.now, plan);
-        if !may_query(waiting.query_purpose()) && !self.may_reserve(waiting) {
+        let purpose = waiting.query_purpose(decisions);
+        let may_query = decisions.may_query(purpose, self.now, plan);
+        if !may_query && !self.may_reserve(waiting) {
             return;
         }
         let eligible_workers = self.eligible_workers(waiting);
         let mut granted = eligible_workers.clone();
         granted.retain(|w| decisions.granted.contains(w));
         self.reserve_for_gang(waiting, &granted);
-        let undecided = self.undecided_workers(waiting, decisions, eligible_workers);
-        let (workers, purpose) = match undecided.is_empty() {
-            false => (undecided, waiting.query_purpose()),
-            true => {
-                let expiring = self.expiring_tickets(decisions, granted, policy);
-                (expiring, QueryPurpose::Renewal)
-            }
-        };
-        self.query_in_parts(decisions, waiting, &workers, purpose, policy, plan);
+        let mut undecided = self.undecided_workers(waiting, decisions, eligible_workers);
+        if undecided.is_empty() {
+            let expiring = self.expiring_tickets(decisions, granted, policy);
+            let purpose = QueryPurpose::Renewal;
+            self.query_in_parts(decisions, waiting, &expiring, purpose, policy, plan);
+            return;
+        }
+        let with_capacity = undecided
+            .iter()
+            .take_while(|w| self.has_unqueried_capacity(waiting, **w))
+            .count();
+        let sufficient = waiting.count.saturating_mul(QUERY_WORKERS_PER_MEMBER);
+        undecided.truncate(with_capacity.min(sufficient).max(MAX_QUERY_WORKERS));
+        self.query_in_parts(decisions, waiting, &undecided, purpose, policy, plan);
     }
 
     /// Those of `workers` whose tickets expire before the answer to a query, and that are in no open
@@ -109,13 +118,14 @@
         workers
     }
 
-    /// Queries the policy about these workers, in parts of similar size.
+    /// Queries the policy about these workers, in parts of similar size. `purpose` is that of the
+    /// first part.
     fn query_in_parts(
         &self,
         decisions: &mut PolicyDecisions,
         waiting: &WaitingStep<'_>,
         workers: &[WorkerIndex],
-        purpose: QueryPurpose,
+        mut purpose: QueryPurpose,
         policy: &Policy,
         plan: &mut Plan,
     ) {
@@ -126,6 +136,9 @@
                 return;
             }
             self.query_policy(decisions, waiting, part, policy, plan);
+            if purpose != QueryPurpose::Renewal {
+                purpose = QueryPurpose::Parallel;
+            }
         }
     }
 
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -135,7 +135,8 @@
             self.mark_queried(waiting, &decisions.queried, unplaced);
             return;
         }
-        if !decisions.may_query(waiting.query_purpose(), self.now, plan) {
+        let purpose = waiting.query_purpose(decisions);
+        if !decisions.may_query(purpose, self.now, plan) {
             return;
         }
         let workers = self.query_candidates(waiting, decisions);
@@ -165,7 +166,11 @@
     }
 
     /// Whether the worker has enough resources for a task that no open query covers.
-    fn has_unqueried_capacity(&self, waiting: &WaitingStep<'_>, worker: WorkerIndex) -> bool {
+    pub(crate) fn has_unqueried_capacity(
+        &self,
+        waiting: &WaitingStep<'_>,
+        worker: WorkerIndex,
+    ) -> bool {
         let need = waiting.step.demand();
         self.capacities
             .get(worker)
--- a/crates/zinnia-plan/src/policy.rs
+++ b/crates/zinnia-plan/src/policy.rs
@@ -34,8 +34,10 @@
 pub(crate) enum QueryPurpose {
     /// Start of an urgent task.
     Urgent,
-    /// Start of any other task.
+    /// Start of any other task; the step has no other open query.
     Start,
+    /// Queries beside an open one of the same step.
+    Parallel,
     /// Renewal of tickets for a gang that waits for resources.
     Renewal,
 }
@@ -43,7 +45,8 @@
 /// Policy time, in milliseconds, of all processes that send queries.
 ///
 /// The policy handles the queries of one process one after the other, so a query waits behind
-/// longer ones. Queries that are not urgent therefore leave a part of the processes free.
+/// longer ones. The less a query is needed, the more of the time it leaves to others: a few gangs
+/// with many workers could otherwise keep all other steps from being queried.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct QueryBudget {
     /// Time that new queries may use beside the open ones.
@@ -57,8 +60,9 @@
     pub(crate) fn allows(&self, purpose: QueryPurpose) -> bool {
         let left_for_others = match purpose {
             QueryPurpose::Urgent => 0,
-            QueryPurpose::Start => self.total_ms / 4,
-            QueryPurpose::Renewal => self.total_ms / 2,
+            QueryPurpose::Start => self.total_ms / 8,
+            QueryPurpose::Parallel => self.total_ms / 2,
+            QueryPurpose::Renewal => self.total_ms / 4 * 3,
         };
         self.free_ms > left_for_others
     }
--- a/crates/zinnia-plan/src/waiting.rs
+++ b/crates/zinnia-plan/src/waiting.rs
@@ -9,6 +9,7 @@
 use crate::Step;
 use crate::StepId;
 use crate::StepState;
+use crate::policy::PolicyDecisions;
 use crate::policy::QueryPurpose;
 
 /// A step with tasks that wait for a worker.
@@ -25,11 +26,12 @@
 }
 
 impl WaitingStep<'_> {
-    /// Purpose of a query that lets tasks of the step start.
-    pub(crate) fn query_purpose(&self) -> QueryPurpose {
-        match self.queue.is_urgent() {
-            true => QueryPurpose::Urgent,
-            false => QueryPurpose::Start,
+    /// Purpose of the next query that lets tasks of the step start.
+    pub(crate) fn query_purpose(&self, decisions: &PolicyDecisions) -> QueryPurpose {
+        match decisions.queried.is_empty() {
+            true if self.queue.is_urgent() => QueryPurpose::Urgent,
+            true => QueryPurpose::Start,
+            false => QueryPurpose::Parallel,
         }
     }
 }
--- a/crates/zinnia-plan/tests/placement.rs
+++ b/crates/zinnia-plan/tests/placement.rs
@@ -466,7 +466,7 @@
     for name in &names {
         sim.add_worker(&incarnation(name, 4_000));
     }
-    sim.submit(job(vec![gang(3, 4_000)]));
+    sim.submit(job(vec![gang(5, 4_000)]));
     let queries = sim.plan().queries;
     let mut queried: Vec<_> = queries.iter().flat_map(|q| q.workers.clone()).collect();
     queried.sort_unstable();
@@ -476,7 +476,7 @@
     for query in &queries {
         answer(&mut sim, query, |w| w.ends_with('7'));
     }
-    assert_eq!(sim.start_tasks().len(), 3);
+    assert_eq!(sim.start_tasks().len(), 5);
 }
 
 /// Guards against a gang that never starts: while the policy is queried about the chosen workers,
