plan: the failure domain goes before the speed, and speed counts in pools with an urgent queue

Fast workers of all zones were filled first, so jobs spread over zones, and gangs lost the empty workers. Change: domain first; in pools without an urgent queue the speed does not count.

--- a/crates/zinnia-plan/src/headroom.rs
+++ b/crates/zinnia-plan/src/headroom.rs
@@ -57,6 +57,11 @@
             teams,
         }
     }
+
+    /// Whether the pool has an urgent queue.
+    pub(crate) fn is_in_pool(&self, pool: &str) -> bool {
+        self.pools.contains(pool)
+    }
 }
 
 impl Leader {
@@ -96,7 +101,7 @@
             return false;
         };
         let needs_gpu = waiting.step.resources.gpu > 0;
-        self.urgent.pools.contains(name)
+        self.urgent.is_in_pool(name)
             && (is_below_headroom(pool.free.cpu, pool.total.cpu)
                 || (needs_gpu && is_below_headroom(pool.free.gpu, pool.total.gpu)))
     }
--- a/crates/zinnia-plan/src/suitability.rs
+++ b/crates/zinnia-plan/src/suitability.rs
@@ -15,12 +15,13 @@
     pub(crate) data_remote: bool,
     /// Whether the task serves user requests and the worker runs best-effort tasks.
     pub(crate) mixed_load: bool,
-    /// Steps of low priority leave the fast workers to the others.
-    speed: SpeedRank,
     /// Distance from the first domain of the job. Keeping the tasks of a job in one failure domain
     /// means that only the loss of that domain delays the job. The first domain depends on the job
     /// id, so that jobs use different domains.
     domain: u64,
+    /// In a pool with an urgent queue, steps of low priority leave the fast workers to the others. In
+    /// other pools the speed does not count, since packing tasks tightly matters more there.
+    speed: SpeedRank,
     /// Number of the step's waiting tasks for which the worker has no room; 0 unless the step is
     /// urgent. An urgent job on few workers is less likely to be delayed by the fault of one. Other
     /// steps fill the fullest workers, which leaves room for large tasks on the emptiest.
@@ -112,8 +113,11 @@
             data_remote: !step.data_rack.is_empty()
                 && incarnation.rack() != Some(step.data_rack.as_str()),
             mixed_load: step.is_service() && capacity.best_effort,
-            speed: SpeedRank::new(waiting, capacity.speed),
             domain: (capacity.domain + first_domain) % domains,
+            speed: match self.urgent.is_in_pool(&waiting.queue.pool) {
+                true => SpeedRank::new(waiting, capacity.speed),
+                false => SpeedRank::new(waiting, Speed::default()),
+            },
             overflow: match waiting.queue.is_urgent() && !step.long_running {
                 true => waiting.count.saturating_sub(capacity.slots(step)),
                 false => 0,
