plan: large gangs query the policy about busy workers in parallel too

Few workers have free resources, so that the parallel queries came down to one after the other: the log shows 9 to 12 queries of 0.6 s in a row before the start. Change: parallel queries are not limited to workers with free resources any more. Their number for each member and their share of the policy's time stay limited.

--- a/crates/zinnia-plan/src/gang.rs
+++ b/crates/zinnia-plan/src/gang.rs
@@ -67,8 +67,8 @@
     /// Prepares the start of a gang that finds not enough resources on the workers that the policy
     /// allows.
     ///
-    /// The policy is queried about many workers with free resources at once, through several
-    /// processes: one query after the other would delay the gang several times. Once the policy has decided on all workers, tickets are kept valid, so that the gang
+    /// The policy is queried about many workers at once, through several processes: one query after
+    /// the other would delay the gang several times. Once the policy has decided on all workers, tickets are kept valid, so that the gang
     /// starts as soon as its workers have enough free resources.
     fn prepare_gang(
         &mut self,
@@ -93,12 +93,8 @@
             self.query_in_parts(decisions, waiting, &expiring, purpose, policy, plan);
             return;
         }
-        let with_capacity = undecided
-            .iter()
-            .take_while(|w| self.has_unqueried_capacity(waiting, **w))
-            .count();
         let sufficient = waiting.count.saturating_mul(QUERY_WORKERS_PER_MEMBER);
-        undecided.truncate(with_capacity.min(sufficient).max(MAX_QUERY_WORKERS));
+        undecided.truncate(sufficient.max(MAX_QUERY_WORKERS));
         self.query_in_parts(decisions, waiting, &undecided, purpose, policy, plan);
     }
 
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -166,11 +166,7 @@
     }
 
     /// Whether the worker has enough resources for a task that no open query covers.
-    pub(crate) fn has_unqueried_capacity(
-        &self,
-        waiting: &WaitingStep<'_>,
-        worker: WorkerIndex,
-    ) -> bool {
+    pub(crate) fn has_unqueried_capacity(&self, waiting: &WaitingStep<'_>, worker: WorkerIndex) -> bool {
         let need = waiting.step.demand();
         self.capacities
             .get(worker)
