plan: a waiting step claims what becomes free of its team's limit

Reservations guard the pool against that, nothing guarded the limit. Change: a step that waits for its team's limit holds back steps of lower priority of the team that use the same resource, for at most 10 s and only if it can ever fit.

--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -25,6 +25,7 @@
 mod speed;
 mod state;
 mod suitability;
+mod team_limit;
 mod waiting;
 mod worker_index;
 mod worker_view;
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -15,6 +15,7 @@
 use crate::capacity::Capacities;
 use crate::headroom::UrgentWork;
 use crate::policy::PolicyDecisions;
+use crate::team_limit::TeamClaim;
 use crate::waiting::WaitingStep;
 use crate::waiting::waiting_steps;
 use crate::worker_index::WorkerIndex;
@@ -31,7 +32,9 @@
     pub(crate) state: &'a State,
     pub(crate) indices: &'a WorkerIndices,
     pub(crate) capacities: Capacities<'a>,
+    /// Resources that the tasks of each team use, including those started in this pass.
     pub(crate) usage: BTreeMap<&'a str, Resources>,
+    pub(crate) team_claims: BTreeMap<&'a str, TeamClaim>,
     /// Number of gangs with reserved resources, by pool.
     pub(crate) gang_reservations: BTreeMap<&'a str, usize>,
     pub(crate) urgent: UrgentWork<'a>,
@@ -54,6 +57,7 @@
             indices: &self.indices,
             capacities,
             usage: BTreeMap::new(),
+            team_claims: BTreeMap::new(),
             gang_reservations: BTreeMap::new(),
             urgent: UrgentWork::new(&state.document, &self.urgent_teams),
             now,
@@ -98,7 +102,7 @@
         waiting: &WaitingStep<'a>,
         plan: &mut Plan,
     ) {
-        if self.must_leave_headroom(waiting) {
+        if self.must_leave_headroom(waiting) || self.is_held_by_claim(waiting) {
             return;
         }
         match waiting.queue.policy {
@@ -166,7 +170,11 @@
     }
 
     /// Whether the worker has enough resources for a task that no open query covers.
-    pub(crate) fn has_unqueried_capacity(&self, waiting: &WaitingStep<'_>, worker: WorkerIndex) -> bool {
+    pub(crate) fn has_unqueried_capacity(
+        &self,
+        waiting: &WaitingStep<'_>,
+        worker: WorkerIndex,
+    ) -> bool {
         let need = waiting.step.demand();
         self.capacities
             .get(worker)
@@ -229,25 +237,6 @@
         }
     }
 
-    /// Whether the team may run `count` more tasks of the step within its limit.
-    pub(crate) fn within_team_limit(&mut self, waiting: &WaitingStep<'a>, count: u64) -> bool {
-        let Some(team) = self.state.document.team(&waiting.job.team) else {
-            return true;
-        };
-        let used = self.team_usage(&waiting.job.team);
-        let resources = waiting.step.resources;
-        let below_cap = |cap: u64, used: u64, need: u64| cap == 0 || used + need * count <= cap;
-        below_cap(team.cap.cpu, used.cpu, resources.cpu)
-            && below_cap(team.cap.mem, used.mem, resources.mem)
-            && below_cap(team.cap.gpu, used.gpu, resources.gpu)
-    }
-
-    pub(crate) fn team_usage(&mut self, team: &'a str) -> &mut Resources {
-        let state = self.state;
-        let known = || state.usage.get(team).copied().unwrap_or_default();
-        self.usage.entry(team).or_insert_with(known)
-    }
-
     /// Number of assigned tasks of the step on each worker that has any, for a step that limits it.
     fn tasks_per_worker(&self, waiting: &WaitingStep<'_>) -> BTreeMap<WorkerIndex, u32> {
         let mut counts = BTreeMap::new();
--- a/crates/zinnia-plan/tests/placement.rs
+++ b/crates/zinnia-plan/tests/placement.rs
@@ -623,3 +623,71 @@
         assert_eq!(workers, case.workers, "{}", case.name);
     }
 }
+
+/// Guards against a gang that never starts because smaller tasks of lower priority take whatever
+/// becomes free of the team's limit, and against a gang that keeps them out for ever.
+#[test]
+fn waiting_gang_claims_the_team_limit() {
+    struct Case {
+        name: &'static str,
+        members: u32,
+        waited_s: u64,
+        /// How many of the small tasks start when one of them ends.
+        small_starts: usize,
+    }
+    let cases = [
+        Case {
+            name: "the gang may start soon",
+            members: 8,
+            waited_s: 0,
+            small_starts: 0,
+        },
+        Case {
+            name: "the gang exceeds the limit",
+            members: 11,
+            waited_s: 0,
+            small_starts: 1,
+        },
+        Case {
+            name: "the gang has waited for long",
+            members: 8,
+            waited_s: 11,
+            small_starts: 1,
+        },
+    ];
+    for case in cases {
+        let mut doc = document(None);
+        for (name, priority) in [("gangs", 1), ("small", 2)] {
+            doc.queues.push(zinnia_plan::Queue {
+                name: name.to_owned(),
+                prefix: format!("/{name}/"),
+                priority,
+                ..doc.queues[0].clone()
+            });
+        }
+        doc.teams[0].cap.cpu = 10_000;
+        let mut sim = Simulation::new(doc);
+        sim.add_worker(&incarnation("w", 100_000));
+        for id in 1..=20 {
+            sim.submit_to("small", id, job(vec![step(1, 1_000)]));
+        }
+        let orders = sim.start_tasks();
+        assert_eq!(orders.len(), 10, "{}", case.name);
+        sim.submit_to("gangs", 30, job(vec![gang(case.members, 1_000)]));
+        let runs: Vec<_> = orders
+            .iter()
+            .map(|o| (o.common.task, o.common.run))
+            .collect();
+        for second in 1..=case.waited_s {
+            sim.now += 1_000;
+            for poll in sim.plan().polls {
+                sim.report_percent(&poll, &runs, second);
+            }
+        }
+        let run = &orders[0].common;
+        let done = zinnia_plan::EndReason::Done;
+        sim.end("w", 1, run.task, run.run, done);
+        let starts = sim.start_tasks().len();
+        assert_eq!(starts, case.small_starts, "{}", case.name);
+    }
+}
