plan: say why steps wait, in a log line and two gauges

Cause: the log shows that a step waits, but not for what. Change: placement returns a reason for each step that waits: headroom, team_claim, team_limit, open_query, query_budget, capacity. The leader logs the oldest step and its reason every 2 s, and serves zinnia_waiting_steps{reason} and zinnia_oldest_waiting_step_ms.

--- a/crates/zinnia-control/src/leader.rs
+++ b/crates/zinnia-control/src/leader.rs
@@ -18,6 +18,8 @@
 use zinnia_plan::StartOrder;
 use zinnia_plan::StartOutcome;
 use zinnia_plan::StepId;
+use zinnia_plan::WaitReason;
+use zinnia_plan::WaitingSteps;
 use zinnia_replica::ProposalOutcome;
 use zinnia_replica::clock;
 
@@ -33,6 +35,8 @@
 /// Pause after a planning pass as a multiple of its duration. With a long backlog a pass takes long,
 /// and requests and the answers of workers must not wait behind one pass after the other.
 const PASS_PAUSE_FACTOR: u32 = 4;
+/// Interval between two reports of the steps that wait for workers.
+const WAITING_INTERVAL: Duration = Duration::from_secs(2);
 /// Timeout of the leader's own proposals; the loss of leadership ends the wait earlier.
 const PROPOSE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Policy time of open queries, in milliseconds, above which a process gets no further query.
@@ -70,6 +74,7 @@
     mut start_orders: mpsc::UnboundedReceiver<StartOrder>,
 ) {
     let starts_pending = Arc::new(AtomicBool::new(false));
+    let mut last_report = Instant::now();
     loop {
         tokio::select! {
             () = context.plan_wakeup.notified() => {}
@@ -86,12 +91,35 @@
         if let Some(plan) = plan_once(&context, &starts_pending) {
             let took = started.elapsed();
             metrics::histogram!("zinnia_plan_pass_ms").record(took.as_secs_f64() * 1e3);
+            let is_due = last_report.elapsed() >= WAITING_INTERVAL;
+            if let Some(waiting) = plan.waiting.as_ref().filter(|_| is_due) {
+                last_report = Instant::now();
+                report_waiting(waiting);
+            }
             execute_plan(&context, &transport, plan, &starts_pending);
             tokio::time::sleep(pause_after_pass(took)).await;
         }
     }
 }
 
+/// Reports which steps wait for workers and why.
+fn report_waiting(waiting: &WaitingSteps) {
+    for reason in WaitReason::ALL {
+        let count = waiting.counts.get(&reason).copied().unwrap_or(0);
+        metrics::gauge!("zinnia_waiting_steps", "reason" => reason.name()).set(count as f64);
+    }
+    let age_ms = waiting.oldest.as_ref().map_or(0, |o| o.age_ms);
+    metrics::gauge!("zinnia_oldest_waiting_step_ms").set(age_ms as f64);
+    let Some(oldest) = &waiting.oldest else {
+        return;
+    };
+    tracing::info!(
+        event = "waiting", step = %oldest.step, queue = oldest.queue, age_ms = oldest.age_ms,
+        reason = oldest.reason.name(), steps = waiting.counts.values().sum::<u64>(),
+        "steps wait for workers; this one for longest"
+    );
+}
+
 /// Returns how long the loop pauses after a planning pass that took `took`.
 fn pause_after_pass(took: Duration) -> Duration {
     (took * PASS_PAUSE_FACTOR).clamp(MIN_PASS_INTERVAL, MAX_PASS_INTERVAL)
--- a/crates/zinnia-plan/src/gang.rs
+++ b/crates/zinnia-plan/src/gang.rs
@@ -13,6 +13,7 @@
 use crate::policy::PolicyDecisions;
 use crate::policy::QueryPurpose;
 use crate::policy::Readiness;
+use crate::wait_reason::WaitReason;
 use crate::waiting::WaitingStep;
 use crate::worker_index::WorkerIndex;
 
@@ -41,46 +42,55 @@
         waiting: &WaitingStep<'a>,
         policy: &Policy,
         plan: &mut Plan,
-    ) {
+    ) -> Option<WaitReason> {
         let now = self.now;
         if !self.within_team_limit(waiting, waiting.state.tasks.len() as u64) {
-            return;
+            return Some(WaitReason::TeamLimit);
         }
         let granted = decisions.granted.iter().copied();
         let available = self.available_among(waiting, granted);
         let readiness = |w| decisions.readiness(w, now);
         let Some(mut choice) = self.select_workers(waiting, &available, readiness) else {
-            self.prepare_gang(decisions, waiting, policy, plan);
-            return;
+            let is_decided = self.prepare_gang(decisions, waiting, policy, plan);
+            return match is_decided {
+                true => Some(WaitReason::Capacity),
+                false if decisions.queried.is_empty() => Some(WaitReason::QueryBudget),
+                false => Some(WaitReason::OpenQuery),
+            };
         };
         if choice.iter().all(|w| readiness(*w) == Readiness::Ticketed) {
             self.start_gang(waiting, &choice, plan);
-            return;
+            return None;
         }
         self.reserve(waiting, &choice);
         choice.dedup();
         let expiring = self.expiring_tickets(decisions, choice, policy);
         let purpose = waiting.query_purpose(decisions);
         self.query_in_parts(decisions, waiting, &expiring, purpose, policy, plan);
+        match decisions.queried.is_empty() {
+            true => Some(WaitReason::QueryBudget),
+            false => Some(WaitReason::OpenQuery),
+        }
     }
 
     /// Prepares the start of a gang that finds not enough resources on the workers that the policy
     /// allows.
     ///
     /// The policy is queried about many workers at once, through several processes: one query after
-    /// the other would delay the gang several times. Once the policy has decided on all workers, tickets are kept valid, so that the gang
-    /// starts as soon as its workers have enough free resources.
+    /// the other would delay the gang several times. Once the policy has decided on all workers,
+    /// tickets are kept valid, so that the gang starts as soon as its workers have enough free
+    /// resources. Returns whether the policy has decided on all workers.
     fn prepare_gang(
         &mut self,
         decisions: &mut PolicyDecisions,
         waiting: &WaitingStep<'a>,
         policy: &Policy,
         plan: &mut Plan,
-    ) {
+    ) -> bool {
         let purpose = waiting.query_purpose(decisions);
         let may_query = decisions.may_query(purpose, self.now, plan);
         if !may_query && !self.may_reserve(waiting) {
-            return;
+            return false;
         }
         let eligible_workers = self.eligible_workers(waiting);
         let mut granted = eligible_workers.clone();
@@ -91,11 +101,12 @@
             let expiring = self.expiring_tickets(decisions, granted, policy);
             let purpose = QueryPurpose::Renewal;
             self.query_in_parts(decisions, waiting, &expiring, purpose, policy, plan);
-            return;
+            return true;
         }
         let sufficient = waiting.count.saturating_mul(QUERY_WORKERS_PER_MEMBER);
         undecided.truncate(sufficient.max(MAX_QUERY_WORKERS));
         self.query_in_parts(decisions, waiting, &undecided, purpose, policy, plan);
+        false
     }
 
     /// Those of `workers` whose tickets expire before the answer to a query, and that are in no open
@@ -177,14 +188,24 @@
     }
 
     /// Starts a gang as a whole, or reserves resources for it if there are not enough.
-    pub(crate) fn place_gang(&mut self, waiting: &WaitingStep<'a>, plan: &mut Plan) {
+    pub(crate) fn place_gang(
+        &mut self,
+        waiting: &WaitingStep<'a>,
+        plan: &mut Plan,
+    ) -> Option<WaitReason> {
         if !self.within_team_limit(waiting, waiting.state.tasks.len() as u64) {
-            return;
+            return Some(WaitReason::TeamLimit);
         }
         let available = self.available_workers(waiting);
         match self.select_workers(waiting, &available, |_| Readiness::Ticketed) {
-            Some(choice) => self.start_gang(waiting, &choice, plan),
-            None => self.reserve_for_gang(waiting, &self.eligible_workers(waiting)),
+            Some(choice) => {
+                self.start_gang(waiting, &choice, plan);
+                None
+            }
+            None => {
+                self.reserve_for_gang(waiting, &self.eligible_workers(waiting));
+                Some(WaitReason::Capacity)
+            }
         }
     }
 
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -12,10 +12,12 @@
 use crate::State;
 use crate::StepId;
 use crate::TaskId;
+use crate::WaitingSteps;
 use crate::capacity::Capacities;
 use crate::headroom::UrgentWork;
 use crate::policy::PolicyDecisions;
 use crate::team_limit::TeamClaim;
+use crate::wait_reason::WaitReason;
 use crate::waiting::WaitingStep;
 use crate::waiting::waiting_steps;
 use crate::worker_index::WorkerIndex;
@@ -46,8 +48,10 @@
     /// Plans starts for waiting tasks, ordered by queue priority and job age. Within a priority, jobs
     /// that can still end in time go before those that have expired.
     pub(crate) fn place(&mut self, state: &State, now: Time, wall_ms: i64, plan: &mut Plan) {
+        let mut report = WaitingSteps::default();
         let mut waiting = waiting_steps(state, wall_ms);
         if waiting.is_empty() {
+            plan.waiting = Some(report);
             return;
         }
         waiting.sort_by_key(|d| (d.queue.priority, d.expired, d.job.accepted_ms, d.id));
@@ -64,8 +68,11 @@
             wall_ms,
         };
         for step in &waiting {
-            pass.place_step(&mut self.decisions, step, plan);
+            if let Some(reason) = pass.place_step(&mut self.decisions, step, plan) {
+                report.add(step, reason, wall_ms);
+            }
         }
+        plan.waiting = Some(report);
     }
 
     /// Returns the free capacity of all workers that accept tasks.
@@ -95,29 +102,45 @@
     }
 }
 
+/// What is left of a step after its tasks were placed.
+enum Unplaced {
+    /// The team's limit allows no further task.
+    AtLimit,
+    /// This many tasks found no worker.
+    Tasks(usize),
+}
+
 impl<'a> PlacementPass<'a> {
+    /// Places what can be placed of a step. Returns why the rest waits, if there is any.
     fn place_step(
         &mut self,
         decisions: &mut Decisions,
         waiting: &WaitingStep<'a>,
         plan: &mut Plan,
-    ) {
-        if self.must_leave_headroom(waiting) || self.is_held_by_claim(waiting) {
-            return;
+    ) -> Option<WaitReason> {
+        if self.must_leave_headroom(waiting) {
+            return Some(WaitReason::Headroom);
+        }
+        if self.is_held_by_claim(waiting) {
+            return Some(WaitReason::TeamClaim);
         }
         match waiting.queue.policy {
             Some(policy) => {
                 let decisions = decisions.entry(waiting.id).or_default();
                 if waiting.step.gang {
-                    self.place_ticketed_gang(decisions, waiting, &policy, plan);
+                    self.place_ticketed_gang(decisions, waiting, &policy, plan)
                 } else {
-                    self.place_ticketed_tasks(decisions, waiting, &policy, plan);
+                    self.place_ticketed_tasks(decisions, waiting, &policy, plan)
                 }
             }
             None if waiting.step.gang => self.place_gang(waiting, plan),
             None => {
                 let available = self.available_workers(waiting);
-                self.place_tasks(waiting, &available, plan);
+                match self.place_tasks(waiting, &available, plan) {
+                    Unplaced::AtLimit => Some(WaitReason::TeamLimit),
+                    Unplaced::Tasks(0) => None,
+                    Unplaced::Tasks(_) => Some(WaitReason::Capacity),
+                }
             }
         }
     }
@@ -129,23 +152,28 @@
         waiting: &WaitingStep<'a>,
         policy: &Policy,
         plan: &mut Plan,
-    ) {
+    ) -> Option<WaitReason> {
         let available = self.available_among(waiting, decisions.ticketed(self.now));
-        let unplaced = self.place_tasks(waiting, &available, plan);
-        if unplaced == 0 {
-            return;
-        }
+        let unplaced = match self.place_tasks(waiting, &available, plan) {
+            Unplaced::AtLimit => return Some(WaitReason::TeamLimit),
+            Unplaced::Tasks(0) => return None,
+            Unplaced::Tasks(count) => count,
+        };
         if !decisions.queried.is_empty() {
             self.mark_queried(waiting, &decisions.queried, unplaced);
-            return;
+            return Some(WaitReason::OpenQuery);
         }
         let purpose = waiting.query_purpose(decisions);
         if !decisions.may_query(purpose, self.now, plan) {
-            return;
+            return Some(WaitReason::QueryBudget);
         }
         let workers = self.query_candidates(waiting, decisions);
         self.query_policy(decisions, waiting, &workers, policy, plan);
         self.mark_queried(waiting, &decisions.queried, unplaced);
+        match decisions.queried.is_empty() {
+            true => Some(WaitReason::Capacity),
+            false => Some(WaitReason::OpenQuery),
+        }
     }
 
     /// Queries the policy whether these workers may run the step.
@@ -280,17 +308,17 @@
         })
     }
 
-    /// Places the tasks of a step one by one; returns how many found no worker.
+    /// Places the tasks of a step one by one.
     fn place_tasks(
         &mut self,
         waiting: &WaitingStep<'a>,
         available: &[WorkerIndex],
         plan: &mut Plan,
-    ) -> usize {
+    ) -> Unplaced {
         if available.is_empty() {
             return match self.within_team_limit(waiting, 1) {
-                true => waiting.state.waiting(),
-                false => 0,
+                true => Unplaced::Tasks(waiting.state.waiting()),
+                false => Unplaced::AtLimit,
             };
         }
         let mut task_counts = self.tasks_per_worker(waiting);
@@ -300,7 +328,7 @@
                 continue;
             }
             if !self.within_team_limit(waiting, 1) {
-                return 0;
+                return Unplaced::AtLimit;
             }
             let fits = |w: &WorkerIndex| {
                 self.has_capacity(waiting, *w) && waiting.step.accepts_more(task_counts.get(w))
@@ -319,6 +347,6 @@
                 self.allocate(waiting, worker);
             }
         }
-        unplaced
+        Unplaced::Tasks(unplaced)
     }
 }
--- a/crates/zinnia-plan/src/plan.rs
+++ b/crates/zinnia-plan/src/plan.rs
@@ -7,6 +7,7 @@
 use crate::Record;
 use crate::Start;
 use crate::TaskId;
+use crate::WaitingSteps;
 
 /// Timing and thresholds of the leader's decisions. Durations are in milliseconds.
 #[derive(Clone, Debug)]
@@ -130,6 +131,8 @@
     pub starts: Vec<Start>,
     /// Queries to the placement policy.
     pub queries: Vec<PolicyQuery>,
+    /// Steps that wait after the pass; `None` if the pass could start no tasks.
+    pub waiting: Option<WaitingSteps>,
     /// Policy time that further queries of this pass may use.
     pub query_budget: QueryBudget,
     /// Polls to send to workers.
--- /dev/null
+++ b/crates/zinnia-plan/src/wait_reason.rs
@@ -0,0 +1,85 @@
+//! Why steps wait for workers, for logs and metrics.
+
+use std::collections::BTreeMap;
+
+use crate::StepId;
+use crate::waiting::WaitingStep;
+
+/// Why a step waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WaitReason {
+    /// It leaves capacity free for urgent steps.
+    Headroom,
+    /// It leaves what becomes free of its team's limit to a step of higher priority.
+    TeamClaim,
+    /// The limit of its team allows no further task.
+    TeamLimit,
+    /// The placement policy is being queried.
+    OpenQuery,
+    /// No process may send a query to the policy now.
+    QueryBudget,
+    /// No worker that may run it has enough free resources.
+    Capacity,
+}
+
+impl WaitReason {
+    /// All reasons.
+    pub const ALL: [Self; 6] = [
+        Self::Headroom,
+        Self::TeamClaim,
+        Self::TeamLimit,
+        Self::OpenQuery,
+        Self::QueryBudget,
+        Self::Capacity,
+    ];
+
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Headroom => "headroom",
+            Self::TeamClaim => "team_claim",
+            Self::TeamLimit => "team_limit",
+            Self::OpenQuery => "open_query",
+            Self::QueryBudget => "query_budget",
+            Self::Capacity => "capacity",
+        }
+    }
+}
+
+/// The step that has waited for longest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OldestStep {
+    /// The step.
+    pub step: StepId,
+    /// Name of its queue.
+    pub queue: String,
+    /// Time since its job was due, in milliseconds.
+    pub age_ms: u64,
+    /// Why it waits.
+    pub reason: WaitReason,
+}
+
+/// Steps that wait after a planning pass.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WaitingSteps {
+    /// Number of steps by reason.
+    pub counts: BTreeMap<WaitReason, u64>,
+    /// The step that has waited for longest, if any waits.
+    pub oldest: Option<OldestStep>,
+}
+
+impl WaitingSteps {
+    pub(crate) fn add(&mut self, waiting: &WaitingStep<'_>, reason: WaitReason, wall_ms: i64) {
+        *self.counts.entry(reason).or_default() += 1;
+        let due_ms = waiting.job.due_ms(waiting.id.round);
+        let age_ms = u64::try_from(wall_ms.saturating_sub(due_ms)).unwrap_or(0);
+        if self.oldest.as_ref().is_none_or(|o| age_ms > o.age_ms) {
+            self.oldest = Some(OldestStep {
+                step: waiting.id,
+                queue: waiting.queue.name.clone(),
+                age_ms,
+                reason,
+            });
+        }
+    }
+}
--- a/crates/zinnia-plan/tests/placement.rs
+++ b/crates/zinnia-plan/tests/placement.rs
@@ -10,6 +10,7 @@
 use zinnia_plan::Policy;
 use zinnia_plan::PolicyQuery;
 use zinnia_plan::QueryBudget;
+use zinnia_plan::WaitReason;
 use zinnia_types::Time;
 
 const POLICY: Policy = Policy {
@@ -687,7 +688,12 @@
         let run = &orders[0].common;
         let done = zinnia_plan::EndReason::Done;
         sim.end("w", 1, run.task, run.run, done);
-        let starts = sim.start_tasks().len();
-        assert_eq!(starts, case.small_starts, "{}", case.name);
+        let plan = sim.plan();
+        assert_eq!(plan.starts.len(), case.small_starts, "{}", case.name);
+        let waiting = plan.waiting.expect("the pass may start tasks");
+        let count = |reason| waiting.counts.get(&reason).copied().unwrap_or(0);
+        let held = count(WaitReason::TeamClaim);
+        assert_eq!(held > 0, case.small_starts == 0, "{}", case.name);
+        assert!(count(WaitReason::TeamLimit) > 0, "{}", case.name);
     }
 }
