store: make a new data folder durable

Change: the parent of each folder that the store creates is synced; a new disk operation for the hook. A folder that exists costs nothing. Result: the new test failed to compile before for want of the operation; without the sync calls it finds none.

--- a/crates/zinnia-store/src/disk.rs
+++ b/crates/zinnia-store/src/disk.rs
@@ -44,6 +44,8 @@
     Remove(PathBuf),
     /// Sync the data folder, which makes created, renamed and removed file names durable.
     SyncFolder,
+    /// Sync the folder in which the data folder, or a folder above it, was created.
+    SyncParent(PathBuf),
 }
 
 /// Hook called before each [`DiskOp`]. Tests use it to inject disk failures.
@@ -68,11 +70,19 @@
 impl DataFolder {
     /// Opens the folder and creates it if it does not exist.
     pub(crate) fn open_or_create(dir: &Path, hook: Option<DiskHook>) -> Result<Self, StoreError> {
+        let missing = dir.ancestors().take_while(|d| !d.exists());
+        let created: Vec<&Path> = missing.filter(|d| !d.as_os_str().is_empty()).collect();
         fs::create_dir_all(dir).map_err(|e| StoreError::io(dir, "create folder", e))?;
-        Ok(Self {
+        let folder = Self {
             dir: dir.to_owned(),
             hook,
-        })
+        };
+        // Without its name in the parent, the folder and all synced files in it would be lost with
+        // the power.
+        for parent in created.iter().filter_map(|d| d.parent()) {
+            folder.sync_parent(parent)?;
+        }
+        Ok(folder)
     }
 
     pub(crate) fn dir(&self) -> &Path {
@@ -165,6 +175,20 @@
             .map_err(to_error)
     }
 
+    fn sync_parent(&self, parent: &Path) -> Result<(), StoreError> {
+        // The parent of a relative path with one component is the working directory.
+        let parent = match parent.as_os_str().is_empty() {
+            true => Path::new("."),
+            false => parent,
+        };
+        let to_error = |e| StoreError::io(parent, "sync parent folder", e);
+        self.call_hook(&DiskOp::SyncParent(parent.to_owned()))
+            .map_err(to_error)?;
+        File::open(parent)
+            .and_then(|dir| dir.sync_all())
+            .map_err(to_error)
+    }
+
     /// Replaces a file atomically. After a crash, it has either the old or the new content.
     pub(crate) fn replace(&self, path: &Path, bytes: &[u8]) -> Result<(), StoreError> {
         let temp_path = path.with_extension(TEMP_EXTENSION);
--- a/crates/zinnia-store/tests/faults.rs
+++ b/crates/zinnia-store/tests/faults.rs
@@ -81,6 +81,8 @@
             }
             DiskOp::Remove(path) => self.keep_durable_content(path),
             DiskOp::SyncFolder => self.durable_content.clear(),
+            // The crash keeps the data folder itself.
+            DiskOp::SyncParent(_) => {}
         }
         Ok(u64::MAX)
     }
--- a/crates/zinnia-store/tests/store.rs
+++ b/crates/zinnia-store/tests/store.rs
@@ -248,6 +248,48 @@
     assert!(remove.is_some() && remove < folder_sync, "{ops:?}");
 }
 
+/// Guards against the loss of a whole new data folder with the power, because its name in the parent
+/// folder is not durable.
+#[test]
+fn a_new_data_folder_is_durable() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        synced: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "the folder exists",
+            path: "",
+            synced: &[],
+        },
+        Case {
+            name: "the folder is new",
+            path: "data",
+            synced: &[""],
+        },
+        Case {
+            name: "two folders are new",
+            path: "vm/data",
+            synced: &["vm", ""],
+        },
+    ];
+    for case in cases {
+        let dir = temp_folder();
+        let (_store, ops) = open_with_recorded_ops(&dir.path().join(case.path));
+        let ops = ops.lock().expect("the lock is not poisoned");
+        let synced: Vec<_> = ops
+            .iter()
+            .filter_map(|op| match op {
+                DiskOp::SyncParent(parent) => Some(parent.clone()),
+                _ => None,
+            })
+            .collect();
+        let expected: Vec<_> = case.synced.iter().map(|d| dir.path().join(d)).collect();
+        assert_eq!(synced, expected, "{}", case.name);
+    }
+}
+
 /// Guards against a segment that is closed before its records are durable. A crash could leave an
 /// incomplete record in it, which is allowed only in the last segment.
 #[test]
