control: documents up to the size that the interface accepts take effect

The gateway took the rejection for a leader that had changed and asked again every 60 ms, for as long as the operator went on, while other requests waited behind. Ruled out: lost acknowledgements (all members answer Unknown) and an unstable core (27 s calm). Change: the limit of an entry (10 MiB) is separate from that of a batch in one message (512 KiB), messages between processes may have 24 MiB, an attempt to publish may take 2 ms more for each KiB, a version that is not newer is acknowledged without an entry, and an entry beyond the limit is refused as invalid at once.

--- a/crates/zinnia-control/src/gateway.rs
+++ b/crates/zinnia-control/src/gateway.rs
@@ -34,6 +34,19 @@
 /// Retry delay for callers while no leader is known.
 const RETRY_AFTER_MS: u64 = 1_000;
 
+/// Time in which a KiB of a document is sent, stored and decoded by a quorum. It is added to the
+/// timeout of an attempt.
+const DOCUMENT_TIME_PER_KIB: Duration = Duration::from_millis(2);
+
+/// Returns the timeout of one attempt to have a request answered.
+fn attempt_timeout(request: &Request) -> Duration {
+    let kib = match request {
+        Request::Publish { raw, .. } => u32::try_from(raw.len() / 1_024).unwrap_or(u32::MAX),
+        _ => 0,
+    };
+    ATTEMPT_TIMEOUT.saturating_add(DOCUMENT_TIME_PER_KIB.saturating_mul(kib))
+}
+
 #[derive(Debug, Default)]
 struct KnownCell {
     /// Member addresses from the settings.
@@ -121,14 +134,10 @@
                 }
             } else if let Some(addr) = self.next_target() {
                 let left = deadline.saturating_duration_since(Instant::now());
+                let attempt = left.min(attempt_timeout(request));
                 let answer = self
                     .links
-                    .call_with_timeout::<_, Answer>(
-                        &addr,
-                        "ask",
-                        request,
-                        left.min(ATTEMPT_TIMEOUT),
-                    )
+                    .call_with_timeout::<_, Answer>(&addr, "ask", request, attempt)
                     .await;
                 match answer {
                     Ok(Answer::Elsewhere(leader)) => self.update_leader(&addr, leader),
--- a/crates/zinnia-control/src/member.rs
+++ b/crates/zinnia-control/src/member.rs
@@ -35,6 +35,9 @@
 
 /// Cluster name in the store.
 pub(crate) const CLUSTER_NAME: &str = "zinnia";
+/// Maximum size of a log entry. The largest is a document of 4 MiB, whose entry has the text and the
+/// decoded document.
+const MAX_ENTRY_BYTES: usize = 10 << 20;
 /// Minimum interval between two messages with entries to a learner. The entries that arrive in this
 /// time must stay below the lag at which a learner may be promoted.
 const LEARNER_INTERVAL_MS: u64 = 50;
@@ -99,6 +102,7 @@
             election_max_ms: settings.election_ms.1,
             lease_ms: settings.leader_lease_ms(),
             learner_interval_ms: LEARNER_INTERVAL_MS,
+            max_entry_bytes: MAX_ENTRY_BYTES,
             // Only the leader answers requests, and only after it has applied all committed
             // entries.
             durable_commit: false,
--- a/crates/zinnia-control/src/requests.rs
+++ b/crates/zinnia-control/src/requests.rs
@@ -12,6 +12,7 @@
 use zinnia_plan::Refusal;
 use zinnia_plan::Reply;
 use zinnia_plan::refuse_job;
+use zinnia_raft::RejectReason;
 use zinnia_replica::ProposalOutcome;
 use zinnia_replica::clock;
 use zinnia_types::JobId;
@@ -29,6 +30,9 @@
 /// Retry delay for callers while the request cannot be handled.
 const RETRY_AFTER_MS: u64 = 1_000;
 
+/// Why a request is refused that the log cannot hold.
+const TOO_LARGE: &str = "the request exceeds the size limit of the log";
+
 /// How to handle a caller's request under the current document.
 enum Decision {
     Answer(Answer),
@@ -61,6 +65,9 @@
                     held = self.cell_state().state.document.version,
                     "document received"
                 );
+                if self.cell_state().state.document.version >= document.version {
+                    return self.confirm_leader(Answer::Done);
+                }
                 self.commit(vec![Record::Document { raw, document }]).await
             }
             Request::Read => {
@@ -269,7 +276,11 @@
             }
             Some(ProposalOutcome::Rejected { reason: why, .. }) => {
                 tracing::info!(event = "refuse", ?why, "the log rejected a proposal");
-                Answer::Elsewhere(None)
+                match why {
+                    // No member accepts it at any time.
+                    RejectReason::TooLarge => Answer::Invalid(TOO_LARGE.to_owned()),
+                    _ => Answer::Elsewhere(None),
+                }
             }
             None => Answer::Unknown,
         };
--- a/crates/zinnia-control/src/settings.rs
+++ b/crates/zinnia-control/src/settings.rs
@@ -7,6 +7,10 @@
 use zinnia_plan::AdmissionSettings;
 use zinnia_types::VmId;
 
+/// Maximum size of a message between processes. The encoding of a message escapes the text of a log
+/// entry, which makes it up to twice as long.
+const MAX_MESSAGE_BYTES: u32 = 24 << 20;
+
 /// Settings of a process.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -79,6 +83,7 @@
             call_timeout: Duration::from_secs(1),
             connect_timeout: Duration::from_millis(500),
             max_connections: 256,
+            max_message: MAX_MESSAGE_BYTES,
             backoff: zinnia_peer::Backoff {
                 initial: Duration::from_millis(20),
                 max: Duration::from_millis(300),
--- a/crates/zinnia-raft/src/action.rs
+++ b/crates/zinnia-raft/src/action.rs
@@ -117,7 +117,7 @@
     NotLeader,
     /// Too many entries are uncommitted. Retry later.
     Busy,
-    /// The command exceeds [`crate::Settings::max_message_bytes`].
+    /// The command exceeds [`crate::Settings::max_entry_bytes`].
     TooLarge,
     /// Another entry was committed at the index of the proposal.
     Overruled,
--- a/crates/zinnia-raft/src/leader.rs
+++ b/crates/zinnia-raft/src/leader.rs
@@ -57,7 +57,7 @@
         };
         let rejection = if self.role != Role::Leader {
             Some(RejectReason::NotLeader)
-        } else if size > self.settings.max_message_bytes {
+        } else if size > self.settings.max_entry_bytes {
             Some(RejectReason::TooLarge)
         } else if self.log.last_index() - self.commit_index >= self.settings.max_uncommitted {
             Some(RejectReason::Busy)
--- a/crates/zinnia-raft/src/log.rs
+++ b/crates/zinnia-raft/src/log.rs
@@ -155,8 +155,8 @@
         let mut found = Vec::new();
         for entry in self.entries.range(offset.min(self.entries.len())..) {
             let size = entry.size_estimate();
-            // The first entry is always included. Its size is already bounded, because proposals
-            // have the same limit.
+            // The first entry is always included. Its size is bounded, because proposals have a
+            // limit of their own.
             if entry.index > to || (size > room && !found.is_empty()) {
                 break;
             }
--- a/crates/zinnia-raft/src/settings.rs
+++ b/crates/zinnia-raft/src/settings.rs
@@ -27,7 +27,9 @@
     /// restarts without reaching a leader then never exposes an older state than before. This costs
     /// one sync per commit and is unnecessary where only the leader serves reads.
     pub durable_commit: bool,
-    /// Maximum bytes of entry data in one message, and therefore in one command.
+    /// Maximum bytes of a command.
+    pub max_entry_bytes: usize,
+    /// Maximum bytes of entry data in one message. A larger entry is sent alone.
     pub max_message_bytes: usize,
     /// Maximum bytes of snapshot data in one message.
     pub max_chunk_bytes: usize,
@@ -53,6 +55,7 @@
             commit_interval_ms: 25,
             learner_interval_ms: 0,
             durable_commit: true,
+            max_entry_bytes: 512 * 1_024,
             max_message_bytes: 512 * 1_024,
             max_chunk_bytes: 128 * 1_024,
             max_in_flight: 16,
--- a/crates/zinnia-raft/src/sim/simulation.rs
+++ b/crates/zinnia-raft/src/sim/simulation.rs
@@ -75,6 +75,7 @@
             settings: Settings {
                 retained_entries: 5,
                 max_chunk_bytes: 7,
+                max_entry_bytes: 300,
                 max_message_bytes: 300,
                 max_in_flight: 4,
                 ..Settings::default()
