--- a/crates/zinnia-plan/src/capacity.rs
+++ b/crates/zinnia-plan/src/capacity.rs
@@ -5,7 +5,6 @@
 use crate::Resources;
 use crate::Step;
 use crate::Worker;
-use crate::speed::Speed;
 use crate::worker_index::WorkerIndex;
 
 /// Free capacity of a worker.
@@ -13,7 +12,6 @@
     /// Name of the worker.
     pub(crate) name: &'a str,
     pub(crate) worker: &'a Worker,
-    pub(crate) speed: Speed,
     /// Index of its failure domain, in the order of the names.
     pub(crate) domain: u64,
     /// Resources that no run uses.
@@ -75,13 +73,7 @@
     }
 
     /// Adds a worker that accepts tasks.
-    pub(crate) fn insert(
-        &mut self,
-        index: WorkerIndex,
-        name: &'a str,
-        worker: &'a Worker,
-        speed: Speed,
-    ) {
+    pub(crate) fn insert(&mut self, index: WorkerIndex, name: &'a str, worker: &'a Worker) {
         let total = worker.incarnation.resources;
         let free = total.minus(&worker.used);
         let pool = self.pools.entry(&worker.incarnation.pool).or_default();
@@ -91,7 +83,6 @@
         let capacity = WorkerCapacity {
             name,
             worker,
-            speed,
             domain: 0,
             free,
             reserved: Resources::default(),
--- a/crates/zinnia-plan/src/headroom.rs
+++ b/crates/zinnia-plan/src/headroom.rs
@@ -32,11 +32,6 @@
     pub(crate) fn is_urgent(&self) -> bool {
         self.priority == URGENT_PRIORITY
     }
-
-    /// Whether tasks of the queue leave capacity to urgent ones.
-    pub(crate) fn leaves_headroom(&self) -> bool {
-        self.priority >= HEADROOM_PRIORITY
-    }
 }
 
 /// Teams with urgent jobs, and when each last had one that was open.
@@ -57,11 +52,6 @@
             teams,
         }
     }
-
-    /// Whether the pool has an urgent queue.
-    pub(crate) fn is_in_pool(&self, pool: &str) -> bool {
-        self.pools.contains(pool)
-    }
 }
 
 impl Leader {
@@ -91,7 +81,7 @@
 impl<'a> PlacementPass<'a> {
     /// Whether the step must leave the remaining capacity to urgent queues.
     pub(crate) fn must_leave_headroom(&mut self, waiting: &WaitingStep<'a>) -> bool {
-        waiting.queue.leaves_headroom()
+        waiting.queue.priority >= HEADROOM_PRIORITY
             && (self.is_pool_tight(waiting) || self.is_team_tight(waiting))
     }
 
@@ -101,7 +91,7 @@
             return false;
         };
         let needs_gpu = waiting.step.resources.gpu > 0;
-        self.urgent.is_in_pool(name)
+        self.urgent.pools.contains(name)
             && (is_below_headroom(pool.free.cpu, pool.total.cpu)
                 || (needs_gpu && is_below_headroom(pool.free.gpu, pool.total.gpu)))
     }
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -12,10 +12,8 @@
 use crate::Record;
 use crate::Settings;
 use crate::State;
-use crate::StepId;
 use crate::headroom::UrgentTeams;
 use crate::placement::Decisions;
-use crate::speed::WorkerSpeeds;
 use crate::worker_index::WorkerIndices;
 use crate::worker_view::WorkerView;
 
@@ -30,7 +28,6 @@
     pub(crate) indices: WorkerIndices,
     pub(crate) decisions: Decisions,
     pub(crate) urgent_teams: UrgentTeams,
-    pub(crate) speeds: WorkerSpeeds,
     /// Work that waits, as of `backlog_at`.
     backlog: Backlog,
     backlog_at: Option<Time>,
@@ -59,7 +56,6 @@
             indices: WorkerIndices::default(),
             decisions: BTreeMap::new(),
             urgent_teams: UrgentTeams::new(),
-            speeds: WorkerSpeeds::default(),
             backlog: Backlog::default(),
             backlog_at: None,
             last_check: None,
@@ -93,7 +89,6 @@
             // restarted. The higher token rejects them, and a lease may last from their latest
             // possible arrival.
             let until = until.max(now.after(MAX_ORDER_DELAY_MS + lease));
-            self.speeds.forget(index);
             *view = WorkerView::new(index, born, view.fence + 1, now, until);
         }
         view
@@ -168,9 +163,8 @@
             self.update_urgent_teams(state, now);
             self.expire_leases(state, now, &mut plan);
             self.stop_runs(state, now, &mut plan);
-            let is_live = |step: &StepId| state.live.contains(&step.job);
-            self.decisions.retain(|step, _| is_live(step));
-            self.speeds.retain_steps(is_live);
+            self.decisions
+                .retain(|step, _| state.live.contains(&step.job));
         }
         let is_due = |at: Time| now.since(at) >= BACKLOG_INTERVAL_MS;
         if self.backlog_at.is_none_or(is_due) {
--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -22,7 +22,6 @@
 mod record;
 mod runs;
 mod spec;
-mod speed;
 mod state;
 mod suitability;
 mod team_limit;
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -16,7 +16,6 @@
 use crate::capacity::Capacities;
 use crate::headroom::UrgentWork;
 use crate::policy::PolicyDecisions;
-use crate::team_limit::TeamClaim;
 use crate::wait_reason::WaitReason;
 use crate::waiting::WaitingStep;
 use crate::waiting::waiting_steps;
@@ -36,7 +35,6 @@
     pub(crate) capacities: Capacities<'a>,
     /// Resources that the tasks of each team use, including those started in this pass.
     pub(crate) usage: BTreeMap<&'a str, Resources>,
-    pub(crate) team_claims: BTreeMap<&'a str, TeamClaim>,
     /// Number of gangs with reserved resources, by pool.
     pub(crate) gang_reservations: BTreeMap<&'a str, usize>,
     pub(crate) urgent: UrgentWork<'a>,
@@ -61,7 +59,6 @@
             indices: &self.indices,
             capacities,
             usage: BTreeMap::new(),
-            team_claims: BTreeMap::new(),
             gang_reservations: BTreeMap::new(),
             urgent: UrgentWork::new(&state.document, &self.urgent_teams),
             now,
@@ -93,8 +90,7 @@
                 && now >= view.suspect_until
                 && now.since(view.last_heard) < self.settings.silence_ms;
             if usable {
-                let speed = self.speeds.speed(view.index);
-                capacities.insert(view.index, name, worker, speed);
+                capacities.insert(view.index, name, worker);
             }
         }
         capacities.number_domains();
@@ -121,9 +117,6 @@
         if self.must_leave_headroom(waiting) {
             return Some(WaitReason::Headroom);
         }
-        if self.is_held_by_claim(waiting) {
-            return Some(WaitReason::TeamClaim);
-        }
         match waiting.queue.policy {
             Some(policy) => {
                 let decisions = decisions.entry(waiting.id).or_default();
--- a/crates/zinnia-plan/src/polls.rs
+++ b/crates/zinnia-plan/src/polls.rs
@@ -90,17 +90,17 @@
         let Some(worker) = state.workers.get(&poll.worker) else {
             return Vec::new();
         };
-        let (index, rack) = (view.index, worker.incarnation.rack());
-        let ends = view.new_ends(report, worker.acked_end, now);
+        let is_new = |end: &&End| end.number > worker.acked_end;
+        let ends: Vec<End> = report.ended.iter().filter(is_new).cloned().collect();
         view.apply_report(report, now);
         let lost_runs = view.lost_runs(poll, report, worker);
         let mut records = Vec::new();
-        if let Some(upto) = ends.iter().map(|(end, _)| end.number).max() {
+        if let Some(upto) = ends.iter().map(|end| end.number).max() {
             records.push(Record::Ends {
                 worker: poll.worker.clone(),
                 born: poll.born,
                 upto,
-                list: ends.iter().map(|(end, _)| (*end).clone()).collect(),
+                list: ends,
             });
             // A poll before the ends are stored would return the same ends again.
             view.next_poll = now.after(retry_ms);
@@ -108,11 +108,6 @@
         if !lost_runs.is_empty() {
             records.push(Record::Release(lost_runs));
         }
-        for (end, run_ms) in ends {
-            if let Some(run_ms) = run_ms {
-                self.learn_speed(state, index, rack, end, run_ms);
-            }
-        }
         records
     }
 
@@ -142,26 +137,6 @@
 }
 
 impl WorkerView {
-    /// Returns the ends after the last one that is stored, each with the run time in milliseconds if
-    /// this leader started the run.
-    fn new_ends<'a>(
-        &self,
-        report: &'a Report,
-        acked_end: u64,
-        now: Time,
-    ) -> Vec<(&'a End, Option<u64>)> {
-        let new = report.ended.iter().filter(|e| e.number > acked_end);
-        new.map(|end| (end, self.run_time(end, now))).collect()
-    }
-
-    /// Time between the acceptance of a run and `now`.
-    fn run_time(&self, end: &End, now: Time) -> Option<u64> {
-        match self.orders.get(&(end.task, end.run))?.state {
-            OrderState::Accepted { at, .. } => Some(now.since(at)),
-            OrderState::Open | OrderState::Unknown => None,
-        }
-    }
-
     /// Returns the assigned runs that the worker certainly does not run and will not start. If that
     /// is still open for one, the next poll has a higher fencing token, which decides it.
     fn lost_runs(
--- a/crates/zinnia-plan/src/spec.rs
+++ b/crates/zinnia-plan/src/spec.rs
@@ -53,20 +53,6 @@
             gpu: self.gpu.saturating_mul(count),
         }
     }
-
-    /// Returns what exceeds the limit `cap`. A limit of 0 is no limit.
-    #[must_use]
-    pub(crate) fn beyond(&self, cap: &Self) -> Self {
-        let excess = |amount: u64, cap: u64| match cap {
-            0 => 0,
-            cap => amount.saturating_sub(cap),
-        };
-        Self {
-            cpu: excess(self.cpu, cap.cpu),
-            mem: excess(self.mem, cap.mem),
-            gpu: excess(self.gpu, cap.gpu),
-        }
-    }
 }
 
 /// One step of a job: `count` tasks of the same kind.
--- a/crates/zinnia-plan/src/suitability.rs
+++ b/crates/zinnia-plan/src/suitability.rs
@@ -1,10 +1,7 @@
 //! Ranking of workers for the tasks of a step.
 
-use std::cmp::Reverse;
-
 use crate::capacity::WorkerCapacity;
 use crate::placement::PlacementPass;
-use crate::speed::Speed;
 use crate::waiting::WaitingStep;
 use crate::worker_index::WorkerIndex;
 
@@ -19,9 +16,6 @@
     /// means that only the loss of that domain delays the job. The first domain depends on the job
     /// id, so that jobs use different domains.
     domain: u64,
-    /// In a pool with an urgent queue, steps of low priority leave the fast workers to the others. In
-    /// other pools the speed does not count, since packing tasks tightly matters more there.
-    speed: SpeedRank,
     /// Number of the step's waiting tasks for which the worker has no room; 0 unless the step is
     /// urgent. An urgent job on few workers is less likely to be delayed by the fault of one. Other
     /// steps fill the fullest workers, which leaves room for large tasks on the emptiest.
@@ -30,24 +24,6 @@
     pub(crate) free: (u64, u64),
 }
 
-/// Rank of a worker by its speed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum SpeedRank {
-    FastFirst(Speed),
-    SlowFirst(Reverse<Speed>),
-}
-
-impl SpeedRank {
-    fn new(waiting: &WaitingStep<'_>, speed: Speed) -> Self {
-        // How soon a long-running task starts depends little on the speed of its worker.
-        let is_low = waiting.queue.leaves_headroom() || waiting.step.long_running;
-        match is_low {
-            true => Self::SlowFirst(Reverse(speed)),
-            false => Self::FastFirst(speed),
-        }
-    }
-}
-
 impl<'a> PlacementPass<'a> {
     /// Workers whose total capacity suffices for a task of the step, best first.
     pub(crate) fn eligible_workers(&self, waiting: &WaitingStep<'_>) -> Vec<WorkerIndex> {
@@ -114,10 +90,6 @@
                 && incarnation.rack() != Some(step.data_rack.as_str()),
             mixed_load: step.is_service() && capacity.best_effort,
             domain: (capacity.domain + first_domain) % domains,
-            speed: match self.urgent.is_in_pool(&waiting.queue.pool) {
-                true => SpeedRank::new(waiting, capacity.speed),
-                false => SpeedRank::new(waiting, Speed::default()),
-            },
             overflow: match waiting.queue.is_urgent() && !step.long_running {
                 true => waiting.count.saturating_sub(capacity.slots(step)),
                 false => 0,
--- a/crates/zinnia-plan/src/wait_reason.rs
+++ b/crates/zinnia-plan/src/wait_reason.rs
@@ -10,8 +10,6 @@
 pub enum WaitReason {
     /// It leaves capacity free for urgent steps.
     Headroom,
-    /// It leaves what becomes free of its team's limit to a step of higher priority.
-    TeamClaim,
     /// The limit of its team allows no further task.
     TeamLimit,
     /// The placement policy is being queried.
@@ -24,9 +22,8 @@
 
 impl WaitReason {
     /// All reasons.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 5] = [
         Self::Headroom,
-        Self::TeamClaim,
         Self::TeamLimit,
         Self::OpenQuery,
         Self::QueryBudget,
@@ -37,7 +34,6 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Headroom => "headroom",
-            Self::TeamClaim => "team_claim",
             Self::TeamLimit => "team_limit",
             Self::OpenQuery => "open_query",
             Self::QueryBudget => "query_budget",
