--- a/crates/zinnia-control/src/gateway.rs
+++ b/crates/zinnia-control/src/gateway.rs
@@ -29,8 +29,9 @@
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Delay before the next attempt.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
-/// Time without an answer from the leader after which this process is not ready.
-const READY_TIMEOUT_MS: u64 = 1_500;
+/// Time without an answer from the leader after which this process is not ready: two `hello` messages
+/// in a row had none. Callers are then sent to processes that reach the leader.
+const READY_TIMEOUT_MS: u64 = 1_000;
 /// Retry delay for callers while no leader is known.
 const RETRY_AFTER_MS: u64 = 1_000;
 
