--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -191,7 +191,7 @@
     }
 
     /// Whether the worker has enough resources for a task that no open query covers.
-    pub(crate) fn has_unqueried_capacity(
+    fn has_unqueried_capacity(
         &self,
         waiting: &WaitingStep<'_>,
         worker: WorkerIndex,
