--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -191,11 +191,7 @@
     }
 
     /// Whether the worker has enough resources for a task that no open query covers.
-    fn has_unqueried_capacity(
-        &self,
-        waiting: &WaitingStep<'_>,
-        worker: WorkerIndex,
-    ) -> bool {
+    fn has_unqueried_capacity(&self, waiting: &WaitingStep<'_>, worker: WorkerIndex) -> bool {
         let need = waiting.step.demand();
         self.capacities
             .get(worker)
