peer, daemon: a stopped server waits until its listener is closed

Stopping a daemon aborted the tasks that accept connections and did not wait for them, so the listener could still be open when the daemon started again at the same address. Ruled out: another process (the IP is derived from the process id) and an outgoing connection with that port (their source is 127.0.0.1). Change: Server::stop and Daemon::kill wait for the aborted task.

--- a/crates/zinnia-daemon/src/daemon.rs
+++ b/crates/zinnia-daemon/src/daemon.rs
@@ -205,6 +205,8 @@
     /// Stops the daemon immediately, as if the process were killed. Requests in flight are aborted.
     pub async fn kill(mut self) {
         self.accept_task.abort();
+        // The listener is closed once the task has ended, so that its address can be used again.
+        let _ = (&mut self.accept_task).await;
         self.shut_down().await;
     }
 
--- a/crates/zinnia-peer/src/server.rs
+++ b/crates/zinnia-peer/src/server.rs
@@ -33,7 +33,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
-use tokio::task::AbortHandle;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio::time::timeout;
 use tower::Service;
@@ -89,7 +89,7 @@
     addr: SocketAddr,
     traffic: Arc<TrafficByPeer>,
     handle: ServerHandle,
-    accept_task: AbortHandle,
+    accept_task: JoinHandle<()>,
 }
 
 impl fmt::Debug for Server {
@@ -118,8 +118,10 @@
     }
 
     /// Closes the listener, waits for pending calls and closes all connections.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
         self.accept_task.abort();
+        // The listener is closed once the task has ended, so that its address can be used again.
+        let _ = (&mut self.accept_task).await;
         let _ = self.handle.stop();
         if timeout(STOP_TIMEOUT, self.handle.clone().stopped())
             .await
@@ -181,7 +183,7 @@
         stop,
         builder,
     };
-    let accept_task = tokio::spawn(accept_connections(listener, Arc::new(context))).abort_handle();
+    let accept_task = tokio::spawn(accept_connections(listener, Arc::new(context)));
     Ok(Server {
         addr,
         traffic,
--- a/crates/zinnia-peer/tests/link.rs
+++ b/crates/zinnia-peer/tests/link.rs
@@ -37,6 +37,19 @@
     }
 }
 
+/// Guards against a server that has been stopped and still holds its address, so that a process that
+/// restarts at once cannot listen there.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn stopped_server_releases_its_address() {
+    for round in 0..300 {
+        let server = start_server(any_port(), settings(), ReceivedValues::default()).await;
+        let addr = server.addr();
+        server.stop().await;
+        let listener = TcpListener::bind(addr).await;
+        assert!(listener.is_ok(), "round {round}: {listener:?}");
+    }
+}
+
 /// Guards against a link that does not reconnect to a restarted peer, and against a refused
 /// connection that is reported as possibly sent.
 #[tokio::test]
