control: test cells have loopback addresses of their own

The fixture asks for a free port on 127.0.0.1, closes the listener and starts a member there later; outgoing connections of all processes have ephemeral ports on that address. zinnia-local avoids that with an IP address for each cell. Change: the fixture uses an IP address for each member, from the process id and a counter.

--- a/crates/zinnia-control/tests/common/mod.rs
+++ b/crates/zinnia-control/tests/common/mod.rs
@@ -4,10 +4,13 @@
 #![allow(dead_code, reason = "each test file uses only a part of this module")]
 
 use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -139,8 +142,16 @@
     }
 }
 
+/// Returns an unused address on an IP of its own.
+///
+/// Outgoing connections have 127.0.0.1 as their source, so that none of them, of this or another
+/// process, takes the port before a member listens there.
 pub(crate) fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    static NEXT_HOST: AtomicU8 = AtomicU8::new(0);
+    let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed) % 250 + 1;
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, high % 250 + 1, low, host);
+    let listener = TcpListener::bind((ip, 0)).expect("a free port");
     listener.local_addr().expect("an address")
 }
 
