replica: the store has a thread of its own

Cause: the log thread waited for each sync.

Change: writes go to a disk thread. Actions that depend on a write wait in a queue, the others are performed at once. A leader holds entries back for a running sync for 10 ms at most and commits them through the others. A follower whose write takes longer than a heartbeat interval shows the leader that it is alive, without a claim about its log. A leader that was paused itself gives its peers time to answer before it steps down.

The simulation of raft reports each sync on its own, as the shell does now.

--- a/crates/zinnia-control/src/log_hooks.rs
+++ b/crates/zinnia-control/src/log_hooks.rs
@@ -1,24 +1,31 @@
 //! Callbacks of the log thread: applies entries, and saves and restores snapshots.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::Weak;
 
+use serde_json::value::RawValue;
+use serde_json::value::to_raw_value;
 use zinnia_plan::Batch;
 use zinnia_plan::EndReason;
 use zinnia_plan::Record;
 use zinnia_plan::Reply;
 use zinnia_raft::Entry;
+use zinnia_raft::Message;
 use zinnia_raft::Payload;
 use zinnia_raft::Role;
 use zinnia_raft::Snapshot;
 use zinnia_replica::Hooks;
 use zinnia_replica::clock;
 use zinnia_store::Identity;
+use zinnia_types::VmId;
 
 use crate::context::CellState;
 use crate::context::MemberContext;
 use crate::member::CLUSTER_NAME;
 use crate::member::open;
+use crate::message::RAFT_METHOD;
 
 /// Creates the callbacks of the log thread.
 pub(crate) fn hooks(context: &Arc<MemberContext>) -> Hooks<Vec<Reply>> {
@@ -35,15 +42,12 @@
         cluster: CLUSTER_NAME.to_owned(),
     };
     let dir = context.settings.data_dir.clone().unwrap_or_default();
+    let last_encoded = Mutex::default();
     Hooks {
         reopen: Some(Box::new(move || open(&dir, &identity))),
         send: Box::new(move |to, message| {
-            let Some(context) = sender.upgrade() else {
-                return;
-            };
-            if let Some(addr) = context.address(to) {
-                let _guard = context.runtime.enter();
-                context.links.notify(&addr, "raft", &message);
+            if let Some(context) = sender.upgrade() {
+                send(&context, &last_encoded, to, message);
             }
         }),
         apply: Box::new(move |entry| apply(&applier, entry)),
@@ -72,6 +76,37 @@
     }
 }
 
+/// A message with entries and its encoding.
+type EncodedMessage = Option<(Message, Box<RawValue>)>;
+
+/// Sends a message to another member.
+///
+/// A leader sends the same entries to each member. They are encoded once, since the log thread can
+/// send no heartbeats meanwhile.
+fn send(context: &MemberContext, last_encoded: &Mutex<EncodedMessage>, to: VmId, message: Message) {
+    let Some(addr) = context.address(to) else {
+        return;
+    };
+    let _guard = context.runtime.enter();
+    if !matches!(&message, Message::Append(append) if !append.entries.is_empty()) {
+        context.links.notify(&addr, RAFT_METHOD, &message);
+        return;
+    }
+    let mut last = last_encoded.lock().unwrap_or_else(PoisonError::into_inner);
+    if last.as_ref().is_none_or(|(known, _)| *known != message) {
+        *last = match to_raw_value(&message) {
+            Ok(encoded) => Some((message, encoded)),
+            Err(error) => {
+                tracing::error!(step = "send", %error, "cannot encode a message with log entries");
+                return;
+            }
+        };
+    }
+    if let Some((_, encoded)) = last.as_ref() {
+        context.links.notify(&addr, RAFT_METHOD, encoded);
+    }
+}
+
 fn install(context: &Weak<MemberContext>, snapshot: &Snapshot) {
     let Some(context) = context.upgrade() else {
         return;
--- a/crates/zinnia-control/src/message.rs
+++ b/crates/zinnia-control/src/message.rs
@@ -7,6 +7,9 @@
 use zinnia_plan::JobSpec;
 use zinnia_plan::Status;
 
+/// Method name of the messages of the log.
+pub(crate) const RAFT_METHOD: &str = "raft";
+
 /// A request from a caller of a queue.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CallerRequest {
--- a/crates/zinnia-control/src/process.rs
+++ b/crates/zinnia-control/src/process.rs
@@ -27,6 +27,7 @@
 use crate::context::PolicyClient;
 use crate::message::Hello;
 use crate::message::HelloReply;
+use crate::message::RAFT_METHOD;
 
 /// A running process of the cell.
 pub struct Process {
@@ -104,7 +105,7 @@
     method: String,
     value: Box<RawValue>,
 ) -> impl Future<Output = Result<Value, ErrorBody>> + Send {
-    let raft = method == "raft";
+    let raft = method == RAFT_METHOD;
     if raft && let Some(replica) = context.as_ref().and_then(|c| c.replica.get()) {
         match decode(&value) {
             Ok(message) => replica.receive(vm, message),
@@ -115,7 +116,7 @@
     }
     async move {
         match (method.as_str(), context) {
-            ("raft", _) => Ok(Value::Null),
+            (RAFT_METHOD, _) => Ok(Value::Null),
             ("advise", _) => {
                 let (job, round, step, workers): (JobId, u32, u32, Vec<String>) = decode(&value)?;
                 let step = StepId { job, round, step };
--- a/crates/zinnia-raft/src/event.rs
+++ b/crates/zinnia-raft/src/event.rs
@@ -29,9 +29,10 @@
     },
     /// The caller proposes commands, which share one write.
     Propose(Vec<Proposal>),
-    /// All actions returned so far are performed, including at least one [`crate::Action::Persist`].
+    /// A [`crate::Action::Persist`] is synced, and all actions returned with it or earlier are
+    /// performed. Later ones may still be in progress.
     Synced {
-        /// Index of the last persisted entry, or 0 if there were none.
+        /// Index of the last entry of the Persist, or 0 if it had none.
         index: u64,
     },
     /// The caller proposes a membership change. Only the leader accepts it.
--- a/crates/zinnia-raft/src/leader.rs
+++ b/crates/zinnia-raft/src/leader.rs
@@ -21,9 +21,10 @@
         self.role = Role::Leader;
         self.leader = Some(self.id);
         self.votes.clear();
-        self.leader_since = self.now;
+        self.last_tick = self.now;
+        self.resumed_at = self.now;
         self.next_heartbeat = self.now.after(self.settings.heartbeat_ms);
-        self.awaiting_sync = false;
+        self.awaiting_sync = None;
         self.peers = BTreeMap::new();
         self.track_members();
         self.append_entry(Payload::Noop);
@@ -134,10 +135,15 @@
 
     /// Steps down if quorum contact is lost, otherwise sends due heartbeats.
     pub(crate) fn on_leader_tick(&mut self) {
-        let contact = self
-            .quorum_contact_at(self.now)
-            .unwrap_or(self.leader_since);
-        if self.now.since(contact.max(self.leader_since)) >= self.settings.election_min_ms {
+        // The peers cannot answer what this node did not send. After a pause of its own, which ends
+        // its lease but need not have led to an election, they get time to answer.
+        if self.now.since(self.last_tick) >= self.settings.election_min_ms / 2 {
+            self.resumed_at = self.now;
+        }
+        self.last_tick = self.now;
+        let contact = self.quorum_contact_at(self.now).unwrap_or_default();
+        let since = contact.max(self.resumed_at);
+        if self.now.since(since) >= self.settings.election_min_ms {
             self.become_follower(self.term, None);
             return;
         }
--- a/crates/zinnia-raft/src/lib.rs
+++ b/crates/zinnia-raft/src/lib.rs
@@ -3,9 +3,10 @@
 //! A cell is a group of VMs that replicate one log. [`Node`] is the state machine of one of them.
 //! [`Node::step`] takes one [`Event`] and returns the [`Action`]s that the caller, the I/O shell,
 //! performs in order. The shell writes and syncs an [`Action::Persist`] before it performs the
-//! actions after it, except those that [`Action::may_precede_sync`] allows earlier. Once all returned
-//! actions are performed, and a Persist was among them, the shell reports [`Event::Synced`]. Until
-//! then a leader buffers new proposals and commit advances, so that they share the next sync.
+//! actions after it, except those that [`Action::may_precede_sync`] allows earlier. Once the actions
+//! of a step with a Persist are performed, the shell reports [`Event::Synced`]. It may pass further
+//! events to the node before that. For a short time a leader buffers new proposals and commit
+//! advances until the report, so that they share the next sync.
 //!
 //! # Examples
 //!
--- a/crates/zinnia-raft/src/message.rs
+++ b/crates/zinnia-raft/src/message.rs
@@ -73,6 +73,19 @@
 const MAX_NUMBER: u64 = 1 << 53;
 
 impl Message {
+    /// A reply to an append message that shows that the sender is alive and accepts the leader, and
+    /// claims nothing about its log. The leader ignores the rejected index, since every log matches
+    /// at 0.
+    pub fn contact(term: u64, sent: u64) -> Self {
+        Self::AppendReply {
+            term,
+            ok: false,
+            index: 0,
+            hint: 0,
+            sent,
+        }
+    }
+
     /// Whether every term and index is at most [`MAX_NUMBER`], so that sums cannot overflow.
     pub(crate) fn has_valid_numbers(&self) -> bool {
         let largest = match self {
--- a/crates/zinnia-raft/src/node.rs
+++ b/crates/zinnia-raft/src/node.rs
@@ -55,14 +55,16 @@
     pub(crate) quorum_contact: Option<Time>,
     pub(crate) votes: BTreeSet<VmId>,
     pub(crate) peers: BTreeMap<VmId, Progress>,
-    /// When this node last became leader.
-    pub(crate) leader_since: Time,
+    /// When this leader last processed a tick.
+    pub(crate) last_tick: Time,
+    /// When this node became leader, or last went on after a pause of its own.
+    pub(crate) resumed_at: Time,
     /// When this leader sends the next heartbeats.
     pub(crate) next_heartbeat: Time,
     /// Term and proposal id of each pending proposal, by log index.
     pub(crate) pending_proposals: BTreeMap<u64, (u64, u64)>,
-    /// Whether this leader emitted a Persist that is not yet reported as synced.
-    pub(crate) awaiting_sync: bool,
+    /// When this leader last emitted a Persist, if none was reported as synced since.
+    pub(crate) awaiting_sync: Option<Time>,
     pub(crate) incoming_snapshot: Option<IncomingSnapshot>,
     /// Number of received messages that violate the protocol. Always 0 unless a peer is faulty.
     pub(crate) protocol_violations: u64,
@@ -105,10 +107,11 @@
             quorum_contact: None,
             votes: BTreeSet::new(),
             peers: BTreeMap::new(),
-            leader_since: Time::default(),
+            last_tick: Time::default(),
+            resumed_at: Time::default(),
             next_heartbeat: Time::default(),
             pending_proposals: BTreeMap::new(),
-            awaiting_sync: false,
+            awaiting_sync: None,
             incoming_snapshot: None,
             protocol_violations: 0,
             output: Output::default(),
@@ -210,7 +213,7 @@
 
     fn on_synced(&mut self, index: u64) {
         self.log.set_synced(index);
-        self.awaiting_sync = false;
+        self.awaiting_sync = None;
         if self.role == Role::Leader {
             self.advance_commit();
         }
@@ -276,8 +279,12 @@
         };
         let truncate = self.output.truncate.take();
         // A leader buffers proposals and commits while a sync is in progress, so that they share the
-        // next sync. Its term and vote change only when it steps down, which clears the flag.
-        if self.awaiting_sync {
+        // next sync. Its term and vote change only when it steps down, which ends the wait.
+        let max_delay = self.settings.max_batch_delay_ms;
+        if self
+            .awaiting_sync
+            .is_some_and(|at| self.now.since(at) < max_delay)
+        {
             return;
         }
         let entries = self.log.take_unpersisted();
@@ -290,7 +297,7 @@
         if !changed && truncate.is_none() && entries.is_empty() {
             return;
         }
-        self.awaiting_sync = self.role == Role::Leader;
+        self.awaiting_sync = (self.role == Role::Leader).then_some(self.now);
         self.persisted = hard;
         actions.push(Action::Persist {
             hard: changed.then_some(hard),
@@ -361,7 +368,7 @@
         }
         if self.role == Role::Leader {
             self.peers.clear();
-            self.awaiting_sync = false;
+            self.awaiting_sync = None;
         }
         self.leader = leader;
         self.votes.clear();
--- a/crates/zinnia-raft/src/settings.rs
+++ b/crates/zinnia-raft/src/settings.rs
@@ -23,6 +23,10 @@
     /// Minimum interval between messages with entries to a learner. No commit waits for learners, so
     /// their entries can be batched.
     pub learner_interval_ms: u64,
+    /// Longest time for which a leader holds back entries while an earlier write is being synced, so
+    /// that they share the next sync. A quorum can commit them without the leader's own disk, so a
+    /// slow one must not delay them for longer.
+    pub max_batch_delay_ms: u64,
     /// Whether entries are applied only after the commit index that covers them is on disk. A VM that
     /// restarts without reaching a leader then never exposes an older state than before. This costs
     /// one sync per commit and is unnecessary where only the leader serves reads.
@@ -54,6 +58,7 @@
             lease_ms: 1_800,
             commit_interval_ms: 25,
             learner_interval_ms: 0,
+            max_batch_delay_ms: 10,
             durable_commit: true,
             max_entry_bytes: 512 * 1_024,
             max_message_bytes: 512 * 1_024,
--- a/crates/zinnia-raft/src/sim/simulation.rs
+++ b/crates/zinnia-raft/src/sim/simulation.rs
@@ -12,6 +12,7 @@
 use super::InvariantChecker;
 use super::SimDisk;
 use super::SimVm;
+use super::vm::ShellStep;
 use crate::Action;
 use crate::Data;
 use crate::Entry;
@@ -197,16 +198,18 @@
         self.perform_actions(id, actions);
         let mut sent_early = Vec::new();
         if let Some(vm) = self.vms.get_mut(&id) {
-            if let Some(Action::Persist {
+            if let Some(ShellStep::Perform(Action::Persist {
                 hard,
                 truncate,
                 entries,
-            }) = vm.pending_actions.pop_front()
+            })) = vm.pending_steps.pop_front()
             {
                 let voted = |h: HardState| (h.term, h.vote);
                 if hard.is_none_or(|h| voted(h) == voted(vm.disk.hard)) {
-                    let sends = vm.pending_actions.iter().map_while(|action| match action {
-                        Action::Send { to, message } => Some((action, *to, message)),
+                    let sends = vm.pending_steps.iter().map_while(|step| match step {
+                        ShellStep::Perform(action @ Action::Send { to, message }) => {
+                            Some((action, *to, message))
+                        }
                         _ => None,
                     });
                     let allowed = sends.filter(|(action, _, _)| action.may_precede_sync());
@@ -398,31 +401,26 @@
             vm.inbox.push(Event::Tick);
         }
         for event in std::mem::take(&mut vm.inbox) {
-            if let Some(node) = &mut vm.node {
-                vm.pending_actions.extend(node.step(event, Time(now)));
-            }
+            vm.step_node(event, Time(now));
         }
         if !stalled {
             self.perform_actions(id, usize::MAX);
         }
     }
 
-    /// Performs up to `count` steps: pending actions and, when none are left, the report of a sync.
+    /// Performs up to `count` pending steps: actions and reports of syncs.
     fn perform_actions(&mut self, id: VmId, count: usize) {
         for _ in 0..count {
             let Some(vm) = self.vms.get_mut(&id) else {
                 return;
             };
-            if let Some(action) = vm.pending_actions.pop_front() {
-                self.perform_action(id, action);
-                continue;
-            }
-            let Some(index) = vm.unreported_sync.take() else {
-                return;
-            };
-            if let Some(node) = &mut vm.node {
-                let actions = node.step(Event::Synced { index }, Time(self.now));
-                vm.pending_actions.extend(actions);
+            match vm.pending_steps.pop_front() {
+                Some(ShellStep::Perform(action)) => self.perform_action(id, action),
+                Some(ShellStep::ReportSync) => {
+                    let index = vm.last_persisted;
+                    vm.step_node(Event::Synced { index }, Time(self.now));
+                }
+                None => return,
             }
         }
     }
@@ -442,7 +440,6 @@
                     format!("{id} truncates applied entries")
                 });
                 vm.last_persisted = entries.last().map_or(vm.last_persisted, |e| e.index);
-                vm.unreported_sync = Some(vm.last_persisted);
                 vm.disk.write(hard, truncate, &entries);
                 vm.disk.sync();
                 let before = entries.first().and_then(|e| vm.disk.term(e.index - 1));
--- a/crates/zinnia-raft/src/sim/vm.rs
+++ b/crates/zinnia-raft/src/sim/vm.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 
+use zinnia_types::Time;
+
 use super::SimDisk;
 use crate::Action;
 use crate::Event;
@@ -25,15 +27,35 @@
     pub(crate) state_hash: u64,
     /// Events that the node has not processed.
     pub(crate) inbox: Vec<Event>,
-    /// Actions that the I/O shell has not performed.
-    pub(crate) pending_actions: VecDeque<Action>,
+    /// What the I/O shell has not performed.
+    pub(crate) pending_steps: VecDeque<ShellStep>,
     /// Index of the last persisted entry.
     pub(crate) last_persisted: u64,
-    /// Index of a sync that is not yet reported to the node.
-    pub(crate) unreported_sync: Option<u64>,
+}
+
+/// Step that the I/O shell performs in order.
+#[derive(Clone, Debug)]
+pub(crate) enum ShellStep {
+    Perform(Action),
+    /// Report to the node that the Persist before it is synced.
+    ReportSync,
 }
 
 impl SimVm {
+    /// Processes an event and queues the resulting actions, followed by the report of their sync.
+    pub(crate) fn step_node(&mut self, event: Event, now: Time) {
+        let Some(node) = &mut self.node else {
+            return;
+        };
+        let actions = node.step(event, now);
+        let persists = actions.iter().any(|a| matches!(a, Action::Persist { .. }));
+        let steps = actions.into_iter().map(ShellStep::Perform);
+        self.pending_steps.extend(steps);
+        if persists {
+            self.pending_steps.push_back(ShellStep::ReportSync);
+        }
+    }
+
     /// Replaces the application state with that of a snapshot.
     pub(crate) fn restore(&mut self, snapshot: Option<&Snapshot>) {
         let (index, data) = snapshot.map_or((0, ""), |s| (s.index, s.data.as_str()));
@@ -59,9 +81,8 @@
     /// Stops the process and discards its events and pending actions.
     pub(crate) fn stop(&mut self) {
         self.node = None;
-        self.pending_actions.clear();
+        self.pending_steps.clear();
         self.inbox.clear();
-        self.unreported_sync = None;
         self.last_persisted = 0;
     }
 }
--- a/crates/zinnia-raft/tests/rules.rs
+++ b/crates/zinnia-raft/tests/rules.rs
@@ -272,6 +272,50 @@
     assert!(!actions.iter().any(outcome), "{actions:?}");
 }
 
+/// Guards against a leader that takes a pause of its own for silence of its peers and steps down,
+/// and against one that never steps down.
+#[test]
+fn leader_steps_down_after_silence_but_not_after_its_own_pause() {
+    let mut node = leader();
+    receive(&mut node, 2, append_reply(3, 4_000), 4_010);
+    // The default election timeout is 2 s at least.
+    let after_pause = 7_000;
+    node.step(Event::Tick, Time(START_MS + after_pause));
+    assert_eq!(node.role(), Role::Leader, "it has to ask its peers first");
+    assert!(!node.has_quorum_contact(Time(START_MS + after_pause)));
+    for ms in (after_pause..after_pause + 2_000).step_by(100) {
+        node.step(Event::Tick, Time(START_MS + ms));
+        assert_eq!(node.role(), Role::Leader);
+    }
+    node.step(Event::Tick, Time(START_MS + after_pause + 2_000));
+    assert_eq!(node.role(), Role::Follower);
+}
+
+/// Guards against a slow disk of the leader that holds back its entries although a quorum can
+/// commit them, and against one sync for each of many proposals in a row.
+#[test]
+fn leader_batches_proposals_for_a_short_time_only() {
+    let mut node = leader();
+    receive(&mut node, 2, append_reply(3, 4_000), 4_010);
+    let mut propose = |ms| {
+        let proposal = Proposal {
+            proposal_id: ms,
+            data: Data::from("a"),
+        };
+        let actions = node.step(Event::Propose(vec![proposal]), Time(START_MS + ms));
+        actions.iter().any(|a| matches!(a, Action::Persist { .. }))
+    };
+    assert!(propose(4_020));
+    assert!(
+        !propose(4_025),
+        "the sync of the first write is in progress"
+    );
+    assert!(
+        propose(4_030),
+        "the leader waits no longer for its own disk"
+    );
+}
+
 /// Guards against a leader that counts itself toward the quorum before its own sync.
 #[test]
 fn leader_counts_itself_after_its_own_sync() {
--- a/crates/zinnia-replica/src/lib.rs
+++ b/crates/zinnia-replica/src/lib.rs
@@ -1,6 +1,9 @@
-//! I/O shell of the replicated log: a thread that owns the store and drives the Raft node.
+//! I/O shell of the replicated log: a thread that drives the Raft node, and one
+//! that owns the store.
 
 pub mod clock;
+mod disk;
+mod disk_thread;
 mod replica;
 mod thread;
 
--- a/crates/zinnia-replica/src/replica.rs
+++ b/crates/zinnia-replica/src/replica.rs
@@ -29,6 +29,8 @@
 use zinnia_types::Time;
 use zinnia_types::VmId;
 
+use crate::disk::Disk;
+use crate::disk_thread::Report;
 use crate::thread::LogThread;
 
 /// Callback that applies a committed entry and returns the reply to its command.
@@ -78,7 +80,8 @@
     Propose(Data, oneshot::Sender<ProposalOutcome<R>>),
     Change(MembershipChange, oneshot::Sender<ProposalOutcome<R>>),
     Bootstrap(Members, oneshot::Sender<bool>),
-    Stop(oneshot::Sender<()>),
+    Disk(Report),
+    Stop(Option<oneshot::Sender<()>>),
 }
 
 /// Handle to the replicated log, which runs on its own thread.
@@ -118,10 +121,14 @@
         let (tx, rx) = mpsc::channel();
         let (applied_tx, applied_rx) = watch::channel(snapshot_index);
         let disk_error = Arc::new(Mutex::new(None));
+        let reports = tx.clone();
+        let report = move |report| {
+            let _ = reports.send(Input::Disk(report));
+        };
         let thread = LogThread {
             settings,
             node: Arc::clone(&node),
-            store,
+            disk: Disk::start(store, Box::new(report))?,
             hooks,
             compact_entries,
             inputs: rx,
@@ -219,7 +226,7 @@
     /// Stops the log thread and releases the data folder.
     pub async fn stop(&self) {
         let (tx, rx) = oneshot::channel();
-        if self.inputs.send(Input::Stop(tx)).is_ok() {
+        if self.inputs.send(Input::Stop(Some(tx))).is_ok() {
             let _ = rx.await;
         }
     }
@@ -233,3 +240,9 @@
         })
     }
 }
+
+impl<R> Drop for Replica<R> {
+    fn drop(&mut self) {
+        let _ = self.inputs.send(Input::Stop(None));
+    }
+}
--- a/crates/zinnia-replica/src/thread.rs
+++ b/crates/zinnia-replica/src/thread.rs
@@ -1,4 +1,4 @@
-//! Thread that owns the store and drives the Raft node.
+//! Thread that drives the Raft node.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -20,7 +20,6 @@
 use zinnia_raft::Role;
 use zinnia_raft::Settings;
 use zinnia_raft::Snapshot;
-use zinnia_store::Store;
 use zinnia_store::StoreError;
 use zinnia_types::Time;
 use zinnia_types::VmId;
@@ -28,6 +27,10 @@
 use crate::Hooks;
 use crate::ProposalOutcome;
 use crate::clock;
+use crate::disk::Disk;
+use crate::disk::Step;
+use crate::disk_thread::Job;
+use crate::disk_thread::Report;
 use crate::replica::Input;
 use crate::replica::lock;
 
@@ -36,14 +39,14 @@
 /// Duration of one pass of the log thread from which a warning is logged.
 const SLOW_PASS_MS: u64 = 100;
 
-/// Maximum number of inputs per pass. Their entries share one sync.
+/// Maximum number of inputs per pass. Their entries share one write.
 const MAX_BATCH_INPUTS: usize = 256;
 
 /// State of the log thread.
 pub(crate) struct LogThread<R> {
     pub(crate) settings: Settings,
     pub(crate) node: Arc<Mutex<Node>>,
-    pub(crate) store: Option<Store>,
+    pub(crate) disk: Disk,
     pub(crate) hooks: Hooks<R>,
     pub(crate) compact_entries: u64,
     pub(crate) inputs: mpsc::Receiver<Input<R>>,
@@ -91,14 +94,11 @@
             self.step(Event::Tick, &mut actions);
             let began = clock::now();
             self.perform_all(actions);
+            self.send_contact();
             let ms = clock::now().since(began);
             metrics::histogram!("zinnia_log_pass_ms").record(ms as f64);
             if ms >= SLOW_PASS_MS {
-                tracing::warn!(
-                    event = "disk",
-                    ms,
-                    "log pass was slow; the disk may be overloaded"
-                );
+                tracing::warn!(event = "log", ms, "log pass was slow");
             }
         }
     }
@@ -125,9 +125,17 @@
             Input::Bootstrap(members, tx) => {
                 let _ = tx.send(self.bootstrap(members));
             }
+            Input::Disk(Report::Synced(job)) => self.disk.record_synced(job, clock::now()),
+            Input::Disk(Report::Failed(error)) => {
+                // They are those of the node that is discarded.
+                actions.clear();
+                self.take_disk_offline(&error);
+            }
             Input::Stop(tx) => {
-                self.store = None;
-                let _ = tx.send(());
+                self.disk.close();
+                if let Some(tx) = tx {
+                    let _ = tx.send(());
+                }
                 return true;
             }
         }
@@ -157,68 +165,88 @@
         }
     }
 
-    /// Performs actions and those that follow from them until none are left.
-    fn perform_all(&mut self, mut actions: Vec<Action>) {
-        while !actions.is_empty() {
-            match self.perform_batch(actions) {
-                Ok(Some(index)) => {
-                    actions = Vec::new();
+    /// Performs actions and those that follow from them, as far as they need not wait for the disk.
+    fn perform_all(&mut self, actions: Vec<Action>) {
+        self.perform_due();
+        self.dispatch(actions);
+        self.perform_due();
+        let mut actions = Vec::new();
+        self.compact_if_due(&mut actions);
+        self.dispatch(actions);
+    }
+
+    /// Performs the steps whose writes are synced, and the actions that follow from them.
+    fn perform_due(&mut self) {
+        while let Some(step) = self.disk.next_due() {
+            match step {
+                Step::Perform(action) => self.perform_action(action),
+                Step::ReportSync(index) => {
+                    let mut actions = Vec::new();
                     self.step(Event::Synced { index }, &mut actions);
-                }
-                Ok(None) => actions = Vec::new(),
-                Err(e) => {
-                    self.take_disk_offline(&e);
-                    return;
+                    self.dispatch(actions);
                 }
             }
-            self.compact_if_due(&mut actions);
         }
     }
 
-    /// Performs actions in order. Returns the last written index, 0 if no entries were written, or
-    /// `None` if nothing was persisted.
-    ///
-    /// If no action concerns a snapshot, all writes are performed first and share one sync. This delays
-    /// messages, but never sends one before the writes that it depends on.
-    fn perform_batch(&mut self, mut actions: Vec<Action>) -> Result<Option<u64>, StoreError> {
-        let no_snapshots = !actions.iter().any(|a| {
-            matches!(
-                a,
-                Action::SaveSnapshot { .. } | Action::InstallSnapshot { .. }
-            )
-        });
-        let mut last = None;
-        if no_snapshots {
-            let send_early = self.may_send_early(&actions);
-            let mut synced = false;
-            for action in &actions {
-                synced |= self.write_action(action, false, &mut last)?;
-            }
-            if synced && send_early {
-                let (early, late) = actions.into_iter().partition(Action::may_precede_sync);
-                actions = late;
-                for action in early {
-                    self.perform_action(action)?;
+    /// Submits the writes among the actions of a pass. Performs the actions that may precede their
+    /// sync, and defers the others until it is complete.
+    fn dispatch(&mut self, actions: Vec<Action>) {
+        let now = clock::now();
+        let blocks = !self.may_send_early(&actions);
+        let mut last_index = None;
+        for action in actions {
+            match action {
+                Action::Persist {
+                    hard,
+                    truncate,
+                    entries,
+                } => {
+                    if let Some(hard) = hard {
+                        self.written_vote = Some((hard.term, hard.vote));
+                    }
+                    let index = entries.last().map(|e| e.index);
+                    last_index = Some(index.or(last_index).unwrap_or(0));
+                    let job = Job::Persist {
+                        hard,
+                        truncate,
+                        entries,
+                    };
+                    self.disk.submit(job, now);
                 }
-            }
-            if synced && let Some(store) = self.store.as_mut() {
-                store.sync()?;
+                Action::SaveSnapshot { snapshot } => {
+                    self.disk.submit(Job::SaveSnapshot(snapshot), now);
+                }
+                Action::InstallSnapshot { snapshot } => {
+                    self.disk.submit(Job::SaveSnapshot(snapshot.clone()), now);
+                    let install = Action::InstallSnapshot { snapshot };
+                    self.disk.defer(Step::Perform(install), true);
+                }
+                action if action.may_precede_sync() && !blocks && !self.disk.is_blocked() => {
+                    self.perform_action(action);
+                }
+                action => self.disk.defer(Step::Perform(action), blocks),
             }
         }
-        for action in actions {
-            if !no_snapshots {
-                self.write_action(&action, true, &mut last)?;
-            }
-            self.perform_action(action)?;
+        if let Some(index) = last_index {
+            self.disk.defer(Step::ReportSync(index), blocks);
+        }
+    }
+
+    /// Shows the leader that this node is alive while a write takes long.
+    fn send_contact(&mut self) {
+        let limit_ms = self.settings.heartbeat_ms;
+        if let Some((to, message)) = self.disk.contact_reply(limit_ms, clock::now()) {
+            (self.hooks.send)(to, message);
         }
-        Ok(last)
     }
 
-    /// Whether some actions may be performed before the sync: the actions change neither role, term
-    /// nor vote, and the commit index need not be durable before entries are applied.
+    /// Whether some actions may be performed before the sync: the actions install no snapshot and
+    /// change neither role, term nor vote, and the commit index need not be durable before entries
+    /// are applied.
     fn may_send_early(&self, actions: &[Action]) -> bool {
         actions.iter().all(|action| match action {
-            Action::RoleChanged { .. } => false,
+            Action::RoleChanged { .. } | Action::InstallSnapshot { .. } => false,
             Action::Persist {
                 hard: Some(hard), ..
             } => !self.settings.durable_commit && self.written_vote == Some((hard.term, hard.vote)),
@@ -226,56 +254,11 @@
         })
     }
 
-    /// Performs the writes of a [`Action::Persist`], including the sync if `sync` is set. Returns
-    /// whether a sync is still required.
-    fn write_action(
-        &mut self,
-        action: &Action,
-        sync: bool,
-        last: &mut Option<u64>,
-    ) -> Result<bool, StoreError> {
-        let Action::Persist {
-            hard,
-            truncate,
-            entries,
-        } = action
-        else {
-            return Ok(false);
-        };
-        let index = entries.last().map(|e| e.index);
-        *last = Some(index.or(*last).unwrap_or(0));
-        let Some(store) = self.store.as_mut() else {
-            return Ok(false);
-        };
-        if let Some(hard) = hard {
-            self.written_vote = Some((hard.term, hard.vote));
-        }
-        if sync {
-            store.persist(hard.as_ref(), *truncate, entries)?;
-            return Ok(false);
-        }
-        if let Some(from) = truncate {
-            store.truncate(*from)?;
-        }
-        store.append(entries)?;
-        if let Some(hard) = hard {
-            store.save_hard_state(hard)?;
-        }
-        Ok(true)
-    }
-
-    fn perform_action(&mut self, action: Action) -> Result<(), StoreError> {
+    fn perform_action(&mut self, action: Action) {
         match action {
-            Action::Persist { .. } => {}
-            Action::SaveSnapshot { snapshot } => {
-                if let Some(store) = self.store.as_mut() {
-                    store.save_snapshot(&snapshot)?;
-                }
-            }
+            // Their writes are submitted by `dispatch`.
+            Action::Persist { .. } | Action::SaveSnapshot { .. } => {}
             Action::InstallSnapshot { snapshot } => {
-                if let Some(store) = self.store.as_mut() {
-                    store.save_snapshot(&snapshot)?;
-                }
                 (self.hooks.install_snapshot)(&snapshot);
                 self.applied.send_replace(snapshot.index);
             }
@@ -299,7 +282,6 @@
                 (self.hooks.role_changed)(role, term, leader);
             }
         }
-        Ok(())
     }
 
     fn apply(&mut self, entries: &[Entry]) {
@@ -338,9 +320,7 @@
             return false;
         }
         let snapshot = Snapshot::initial(members);
-        if let Some(store) = self.store.as_mut()
-            && let Err(e) = store.save_snapshot(&snapshot)
-        {
+        if let Err(e) = self.disk.save_now(&snapshot) {
             self.take_disk_offline(&e);
             return false;
         }
@@ -362,12 +342,12 @@
         metrics::counter!("zinnia_disk_failures_total").increment(1);
         *lock(&self.disk_error) = Some(error.to_string());
         self.written_vote = None;
+        self.disk.reset();
         self.pending.clear();
         self.committed.clear();
         if self.hooks.reopen.is_some() {
             // The in-memory state may be ahead of the disk, so discard it.
             *lock(&self.node) = Node::new(self.settings.clone(), RecoveredState::default());
-            self.store = None;
             self.last_reopen = clock::now();
             (self.hooks.role_changed)(Role::Learner, 0, None);
         }
@@ -394,7 +374,7 @@
                 let snapshot_index = recovered.snapshot.as_ref().map_or(0, |s| s.index);
                 self.applied.send_replace(snapshot_index);
                 *lock(&self.node) = Node::new(self.settings.clone(), recovered);
-                self.store = Some(store);
+                self.disk.submit(Job::Open(Box::new(store)), now);
                 *lock(&self.disk_error) = None;
             }
             Err(error) => {
--- /dev/null
+++ b/crates/zinnia-replica/tests/common/mod.rs
@@ -0,0 +1,213 @@
+//! Voter 1 of three, whose disk can be paused. The test sends the messages of the others.
+
+#![expect(clippy::expect_used, reason = "a failed fixture must stop the test")]
+#![allow(dead_code, reason = "each test file uses only a part of this module")]
+
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use zinnia_raft::Member;
+use zinnia_raft::Members;
+use zinnia_raft::Message;
+use zinnia_raft::Payload;
+use zinnia_raft::Settings;
+use zinnia_raft::Snapshot;
+use zinnia_replica::Hooks;
+use zinnia_replica::Replica;
+use zinnia_store::DiskOp;
+use zinnia_store::Identity;
+use zinnia_store::Store;
+use zinnia_store::StoreOptions;
+use zinnia_types::VmId;
+
+/// Maximum wait for a message.
+pub(crate) const TIMEOUT: Duration = Duration::from_secs(10);
+/// Time without a message after which it counts as not sent.
+pub(crate) const ABSENCE_WINDOW: Duration = Duration::from_millis(300);
+
+/// Disk whose syncs block while it is paused.
+#[derive(Default)]
+pub(crate) struct PausableDisk {
+    paused: Mutex<bool>,
+    resumed: Condvar,
+}
+
+impl PausableDisk {
+    pub(crate) fn set_paused(&self, paused: bool) {
+        *self.paused.lock().expect("the lock is not poisoned") = paused;
+        self.resumed.notify_all();
+    }
+
+    fn wait_until_resumed(&self) {
+        let paused = self.paused.lock().expect("the lock is not poisoned");
+        drop(
+            self.resumed
+                .wait_while(paused, |paused| *paused)
+                .expect("the lock is not poisoned"),
+        );
+    }
+}
+
+pub(crate) struct TestVoter {
+    pub(crate) replica: Arc<Replica<()>>,
+    pub(crate) sent: mpsc::Receiver<(VmId, Message)>,
+    pub(crate) disk: Arc<PausableDisk>,
+    _dir: tempfile::TempDir,
+}
+
+impl TestVoter {
+    /// Starts voter 1 of three. The test sends the messages of the others.
+    pub(crate) fn start() -> Self {
+        let dir = tempfile::tempdir().expect("a temporary folder");
+        let disk = Arc::new(PausableDisk::default());
+        let gate = Arc::clone(&disk);
+        let options = StoreOptions {
+            disk_hook: Some(Arc::new(move |op| {
+                if matches!(op, DiskOp::Sync { .. }) {
+                    gate.wait_until_resumed();
+                }
+                Ok(u64::MAX)
+            })),
+            ..StoreOptions::default()
+        };
+        let wanted = Identity {
+            id: VmId(1),
+            cluster: "cell".to_owned(),
+        };
+        let (mut store, mut recovered) =
+            Store::open_with(dir.path(), &wanted, options).expect("the store opens");
+        let member = |id| Member {
+            id: VmId(id),
+            peer: format!("127.0.0.1:{id}"),
+            http: String::new(),
+            voter: true,
+        };
+        let members: Vec<Member> = (1..=3).map(member).collect();
+        let first = Snapshot::initial(Members::from(members));
+        store.save_snapshot(&first).expect("the snapshot is saved");
+        recovered.snapshot = Some(first);
+        let (tx, sent) = mpsc::channel();
+        let hooks = Hooks {
+            send: Box::new(move |to, message| {
+                let _ = tx.send((to, message));
+            }),
+            apply: Box::new(|_| Some(())),
+            install_snapshot: Box::new(|_| {}),
+            take_snapshot: Box::new(|| None),
+            reopen: None,
+            role_changed: Box::new(|_, _, _| {}),
+        };
+        let settings = Settings {
+            id: VmId(1),
+            heartbeat_ms: 20,
+            election_min_ms: 200,
+            election_max_ms: 300,
+            durable_commit: false,
+            ..Settings::default()
+        };
+        let replica = Replica::start(settings, Some(store), recovered, 1_000, hooks)
+            .expect("the log thread starts");
+        Self {
+            replica: Arc::new(replica),
+            sent,
+            disk,
+            _dir: dir,
+        }
+    }
+
+    /// Returns the next message to voter 2 that `accepts` selects, or `None` after `limit`. Replies to
+    /// all messages before it.
+    pub(crate) fn next_message(
+        &self,
+        limit: Duration,
+        accepts: impl Fn(&Message) -> bool,
+    ) -> Option<Message> {
+        let end = std::time::Instant::now() + limit;
+        loop {
+            let left = end.saturating_duration_since(std::time::Instant::now());
+            let (to, message) = self.sent.recv_timeout(left).ok()?;
+            if to == VmId(2) && accepts(&message) {
+                return Some(message);
+            }
+            self.reply(&message);
+        }
+    }
+
+    /// Starts the voter and makes it the leader.
+    pub(crate) fn elected() -> Self {
+        let voter = Self::start();
+        let is_append = |m: &Message| matches!(m, Message::Append(a) if a.commit > 0);
+        let first_commit = voter
+            .next_message(TIMEOUT, is_append)
+            .expect("the leader sends a commit index");
+        voter.reply(&first_commit);
+        voter
+    }
+
+    /// Replies as both other voters to all messages until `limit` has passed.
+    pub(crate) fn reply_to_all(&self, limit: Duration) {
+        let end = std::time::Instant::now() + limit;
+        loop {
+            let left = end.saturating_duration_since(std::time::Instant::now());
+            let Ok((to, message)) = self.sent.recv_timeout(left) else {
+                return;
+            };
+            self.reply_as(to, &message);
+        }
+    }
+
+    /// Returns the next reply to a message of the leader that `accepts` selects, or `None` after
+    /// `limit`. Other messages are dropped.
+    pub(crate) fn next_reply(
+        &self,
+        limit: Duration,
+        accepts: impl Fn(&Message) -> bool,
+    ) -> Option<Message> {
+        let end = std::time::Instant::now() + limit;
+        loop {
+            let left = end.saturating_duration_since(std::time::Instant::now());
+            let (_, message) = self.sent.recv_timeout(left).ok()?;
+            if matches!(message, Message::AppendReply { .. }) && accepts(&message) {
+                return Some(message);
+            }
+        }
+    }
+
+    /// Replies as voter 2, which grants every vote and accepts every entry.
+    pub(crate) fn reply(&self, message: &Message) {
+        self.reply_as(VmId(2), message);
+    }
+
+    fn reply_as(&self, from: VmId, message: &Message) {
+        let reply = match message {
+            Message::PreVote { term, .. } => Message::VoteReply {
+                term: *term,
+                pre: true,
+                granted: true,
+            },
+            Message::Vote { term, .. } => Message::VoteReply {
+                term: *term,
+                pre: false,
+                granted: true,
+            },
+            Message::Append(append) => Message::AppendReply {
+                term: append.term,
+                ok: true,
+                index: append.prev + append.entries.len() as u64,
+                hint: 0,
+                sent: append.sent,
+            },
+            _ => return,
+        };
+        self.replica.receive(from, reply);
+    }
+}
+
+/// Whether the message has entries with data.
+pub(crate) fn carries_data(message: &Message) -> bool {
+    let data = |e: &zinnia_raft::Entry| matches!(e.payload, Payload::Data(_));
+    matches!(message, Message::Append(append) if append.entries.iter().any(data))
+}
