plan: headroom in a team's limit follows the recent demand of its urgent jobs

Headroom was a threshold: with a fifth of the limit free, a step of low priority took all of the rest at once.

Change: tasks of low priority leave free what the team's urgent jobs needed at the same time in the last 5 to 10 s, at most half of the limit, counted for each task. A job that has used a quarter of its expiry time leaves nothing free any more, so that it is not delayed for ever.

--- a/crates/zinnia-plan/src/headroom.rs
+++ b/crates/zinnia-plan/src/headroom.rs
@@ -3,7 +3,7 @@
 //! With headroom a burst of urgent jobs starts without delay, while jobs of low priority may take
 //! several times their run time. It is kept in each pool with an urgent queue, and within the limit
 //! of each team that submits urgent jobs: a team at its limit could start none, however much of the
-//! pool is free.
+//! pool is free. A team's headroom is what its urgent jobs recently needed at the same time.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -13,6 +13,7 @@
 use crate::Document;
 use crate::Leader;
 use crate::Queue;
+use crate::Resources;
 use crate::State;
 use crate::Status;
 use crate::placement::PlacementPass;
@@ -24,8 +25,14 @@
 const HEADROOM_PRIORITY: u32 = 2;
 /// Share of a capacity, in percent, that stays free as headroom.
 const HEADROOM_PERCENT: u64 = 20;
-/// Time after its last open urgent job in which a team keeps headroom for the next one.
-const TEAM_HEADROOM_MS: u64 = 10_000;
+/// Length of a window of which the peak demand of a team's urgent jobs is kept. Headroom follows the
+/// current window and the one before.
+const DEMAND_WINDOW_MS: u64 = 5_000;
+/// Part of a team's limit, as a divisor, that headroom takes at most. The rest is for other jobs.
+const MAX_HEADROOM_DIVISOR: u64 = 2;
+/// Part of its expiry time, as a divisor, after which a job no longer leaves headroom in the limit
+/// of its team, so that it is not delayed for ever.
+const MAX_YIELD_DIVISOR: i64 = 4;
 
 impl Queue {
     /// Whether tasks of the queue start before those of all other queues.
@@ -34,14 +41,57 @@
     }
 }
 
-/// Teams with urgent jobs, and when each last had one that was open.
-pub(crate) type UrgentTeams = BTreeMap<String, Time>;
+/// Recent demand of a team's urgent jobs.
+#[derive(Debug, Default)]
+pub(crate) struct UrgentDemand {
+    /// Start of the current window.
+    window_start: Time,
+    /// Peaks in the current window and in the one before.
+    peaks: [Resources; 2],
+    /// What the runs of urgent jobs use.
+    used: Resources,
+}
+
+impl UrgentDemand {
+    /// Moves on to the window of `now`.
+    fn advance(&mut self, now: Time) {
+        let age_ms = now.since(self.window_start);
+        if age_ms < DEMAND_WINDOW_MS {
+            return;
+        }
+        let [current, _] = self.peaks;
+        let previous = match age_ms < 2 * DEMAND_WINDOW_MS {
+            true => current,
+            false => Resources::default(),
+        };
+        self.peaks = [Resources::default(), previous];
+        self.window_start = now;
+    }
+
+    /// What the team's urgent jobs are likely to need beside what they use.
+    fn reserve(&self, limit: &Resources, used: &Resources) -> Resources {
+        let [current, previous] = &self.peaks;
+        let reserve = |peak: u64, limit: u64| peak.min(limit / MAX_HEADROOM_DIVISOR);
+        let peak = current.max(previous);
+        let reserved = Resources {
+            cpu: reserve(peak.cpu, limit.cpu),
+            mem: reserve(peak.mem, limit.mem),
+            gpu: reserve(peak.gpu, limit.gpu),
+        };
+        reserved.minus(used)
+    }
+}
+
+/// Demand of the urgent jobs of each team that recently had any.
+pub(crate) type UrgentTeams = BTreeMap<String, UrgentDemand>;
 
 /// Who may need headroom in a placement pass.
 pub(crate) struct UrgentWork<'a> {
     /// Pools with an urgent queue.
     pools: BTreeSet<&'a str>,
     teams: &'a UrgentTeams,
+    /// What urgent tasks started in this pass use, by team.
+    started: BTreeMap<&'a str, Resources>,
 }
 
 impl<'a> UrgentWork<'a> {
@@ -50,26 +100,46 @@
         Self {
             pools: urgent.map(|q| q.pool.as_str()).collect(),
             teams,
+            started: BTreeMap::new(),
         }
     }
+
+    /// Records that an urgent task starts in this pass.
+    pub(crate) fn record_start(&mut self, team: &'a str, resources: &Resources) {
+        let started = self.started.entry(team).or_default();
+        *started = started.plus(resources);
+    }
 }
 
 impl Leader {
-    /// Records which teams have open urgent jobs.
+    /// Records the demand of each team's urgent jobs.
     pub(crate) fn update_urgent_teams(&mut self, state: &State, now: Time) {
         let queues = state.document.queues.iter();
         let urgent: BTreeSet<&str> = queues
             .filter(|q| q.is_urgent())
             .map(|q| q.name.as_str())
             .collect();
+        let mut demands: BTreeMap<&str, (Resources, Resources)> = BTreeMap::new();
         let live = state.live.iter().filter_map(|id| state.jobs.get(id));
-        for job in live.filter(|j| j.status == Status::Open) {
-            if urgent.contains(job.queue.as_str()) {
-                self.urgent_teams.insert(job.team.clone(), now);
+        for job in live.filter(|j| j.status == Status::Open && urgent.contains(j.queue.as_str())) {
+            let (total, used) = demands.entry(&job.team).or_default();
+            for (step, open, assigned) in job.open_tasks(state.at_ms) {
+                *total = total.plus(&step.resources.times(open));
+                *used = used.plus(&step.resources.times(assigned));
             }
         }
+        for team in demands.keys() {
+            self.urgent_teams.entry((*team).to_owned()).or_default();
+        }
+        for (team, demand) in &mut self.urgent_teams {
+            demand.advance(now);
+            let (total, used) = demands.get(team.as_str()).copied().unwrap_or_default();
+            let [current, _] = &mut demand.peaks;
+            *current = current.max(&total);
+            demand.used = used;
+        }
         self.urgent_teams
-            .retain(|_, seen| now.since(*seen) < TEAM_HEADROOM_MS);
+            .retain(|_, d| d.peaks.iter().any(|p| *p != Resources::default()));
     }
 }
 
@@ -79,10 +149,9 @@
 }
 
 impl<'a> PlacementPass<'a> {
-    /// Whether the step must leave the remaining capacity to urgent queues.
-    pub(crate) fn must_leave_headroom(&mut self, waiting: &WaitingStep<'a>) -> bool {
-        waiting.queue.priority >= HEADROOM_PRIORITY
-            && (self.is_pool_tight(waiting) || self.is_team_tight(waiting))
+    /// Whether the step must leave the remaining capacity of its pool to urgent queues.
+    pub(crate) fn must_leave_headroom(&self, waiting: &WaitingStep<'a>) -> bool {
+        waiting.queue.priority >= HEADROOM_PRIORITY && self.is_pool_tight(waiting)
     }
 
     fn is_pool_tight(&self, waiting: &WaitingStep<'_>) -> bool {
@@ -96,15 +165,20 @@
                 || (needs_gpu && is_below_headroom(pool.free.gpu, pool.total.gpu)))
     }
 
-    fn is_team_tight(&mut self, waiting: &WaitingStep<'a>) -> bool {
-        let name = waiting.job.team.as_str();
-        let Some(team) = self.state.document.team(name) else {
-            return false;
+    /// What the step must leave of its team's limit to urgent jobs of the team.
+    pub(crate) fn team_headroom(&self, waiting: &WaitingStep<'a>, limit: &Resources) -> Resources {
+        let team = waiting.job.team.as_str();
+        let waited_ms = self.wall_ms - waiting.job.accepted_ms;
+        let expiry_ms = waiting.queue.expiry_ms(&waiting.job.spec);
+        let may_yield = i64::try_from(expiry_ms).is_ok_and(|ms| waited_ms < ms / MAX_YIELD_DIVISOR);
+        let demand = self.urgent.teams.get(team);
+        let Some(demand) = demand.filter(|_| waiting.queue.priority >= HEADROOM_PRIORITY) else {
+            return Resources::default();
         };
-        if !self.urgent.teams.contains_key(name) {
-            return false;
+        if !may_yield {
+            return Resources::default();
         }
-        let free = team.cap.minus(self.team_usage(name));
-        is_below_headroom(free.cpu, team.cap.cpu)
+        let started = self.urgent.started.get(team).copied().unwrap_or_default();
+        demand.reserve(limit, &demand.used.plus(&started))
     }
 }
--- a/crates/zinnia-plan/src/job.rs
+++ b/crates/zinnia-plan/src/job.rs
@@ -144,6 +144,21 @@
             .all(|&a| states.get(a).is_some_and(StepState::is_done))
     }
 
+    /// The steps of due rounds whose dependencies are complete, each with the number of its
+    /// incomplete tasks and of those that are assigned to a worker.
+    pub(crate) fn open_tasks(&self, wall_ms: i64) -> impl Iterator<Item = (&Step, u64, u64)> {
+        let rounds = (0..).zip(&self.rounds);
+        let due = rounds.filter(move |(r, _)| self.due_ms(*r) <= wall_ms);
+        let steps = due.flat_map(move |(r, states)| {
+            let specs = (0..).zip(self.spec.steps.iter().zip(states));
+            specs.filter_map(move |(s, row)| self.is_ready(r, s).then_some(row))
+        });
+        steps.map(|(step, state)| {
+            let open = u64::from(step.count).saturating_sub(u64::from(state.done));
+            (step, open, u64::from(state.assigned))
+        })
+    }
+
     /// Whether the job may end soon: every incomplete task is assigned to a worker, and no step is
     /// long-running.
     pub fn may_end_soon(&self) -> bool {
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -274,6 +274,10 @@
         }
         let used = self.team_usage(&waiting.job.team);
         *used = used.plus(&waiting.step.resources);
+        if waiting.queue.is_urgent() {
+            let team = &waiting.job.team;
+            self.urgent.record_start(team, &waiting.step.resources);
+        }
     }
 
     pub(crate) fn new_start(
--- a/crates/zinnia-plan/src/spec.rs
+++ b/crates/zinnia-plan/src/spec.rs
@@ -44,6 +44,15 @@
         }
     }
 
+    /// The larger amount of each resource.
+    pub(crate) fn max(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            mem: self.mem.max(other.mem),
+            gpu: self.gpu.max(other.gpu),
+        }
+    }
+
     /// Returns the resources of `count` tasks, limited to the range of the type.
     #[must_use]
     pub(crate) fn times(&self, count: u64) -> Self {
--- a/crates/zinnia-plan/src/team_limit.rs
+++ b/crates/zinnia-plan/src/team_limit.rs
@@ -5,12 +5,14 @@
 use crate::waiting::WaitingStep;
 
 impl<'a> PlacementPass<'a> {
-    /// Whether the team may run `count` more tasks of the step within its limit.
+    /// Whether the team may run `count` more tasks of the step within its limit, less what the step
+    /// must leave to urgent jobs.
     pub(crate) fn within_team_limit(&mut self, waiting: &WaitingStep<'a>, count: u64) -> bool {
         let Some(team) = self.state.document.team(&waiting.job.team) else {
             return true;
         };
-        let need = waiting.step.resources.times(count);
+        let headroom = self.team_headroom(waiting, &team.cap);
+        let need = waiting.step.resources.times(count).plus(&headroom);
         let used = self.team_usage(&team.name);
         let below_cap =
             |cap: u64, used: u64, need: u64| cap == 0 || used.saturating_add(need) <= cap;
