--- a/crates/zinnia-raft/tests/rules.rs
+++ b/crates/zinnia-raft/tests/rules.rs
@@ -1,12 +1,22 @@
 //! Protocol rules that random faults rarely exercise, tested with single messages.
 
+mod common;
+
+use common::START_MS;
+use common::append_reply;
+use common::elect;
+use common::entry;
+use common::follower;
+use common::follower_with;
+use common::leader;
+use common::receive;
+use common::vote_granted;
 use proptest::prelude::*;
 use zinnia_raft::Action;
 use zinnia_raft::AppendEntries;
 use zinnia_raft::Data;
 use zinnia_raft::Entry;
 use zinnia_raft::Event;
-use zinnia_raft::HardState;
 use zinnia_raft::Members;
 use zinnia_raft::MembershipChange;
 use zinnia_raft::Message;
@@ -14,7 +24,6 @@
 use zinnia_raft::Payload;
 use zinnia_raft::Proposal;
 use zinnia_raft::RecoveredState;
-use zinnia_raft::RejectReason;
 use zinnia_raft::Role;
 use zinnia_raft::Settings;
 use zinnia_raft::Snapshot;
@@ -23,114 +32,6 @@
 use zinnia_types::Time;
 use zinnia_types::VmId;
 
-const START_MS: u64 = 100_000;
-
-/// Voter 1 of three in term 2. Its log ends at index 2 with an entry of that term.
-fn follower() -> Node {
-    follower_with(true)
-}
-
-fn follower_with(durable_commit: bool) -> Node {
-    let members: Vec<_> = (1..=3).map(|id| member(VmId(id), true)).collect();
-    let last = entry(2, 2, Payload::Data(Data::from("a")));
-    let recovered = RecoveredState {
-        hard: HardState {
-            term: 2,
-            vote: None,
-            commit: 1,
-        },
-        snapshot: Some(Snapshot::initial(Members::from(members))),
-        entries: vec![last],
-    };
-    let settings = Settings {
-        id: VmId(1),
-        durable_commit,
-        ..Settings::default()
-    };
-    let mut node = Node::new(settings, recovered);
-    node.step(Event::Tick, Time(START_MS));
-    node
-}
-
-fn receive(node: &mut Node, from: u64, message: Message, ms: u64) -> Vec<Action> {
-    let from = VmId(from);
-    node.step(Event::Receive { from, message }, Time(START_MS + ms))
-}
-
-fn vote_granted(pre: bool, term: u64) -> Message {
-    Message::VoteReply {
-        term,
-        pre,
-        granted: true,
-    }
-}
-
-fn append_reply(index: u64, sent: u64) -> Message {
-    Message::AppendReply {
-        term: 3,
-        ok: true,
-        index,
-        hint: 0,
-        sent: START_MS + sent,
-    }
-}
-
-/// Voter 1 as leader of term 3. The first entry of its term is at index 3.
-fn leader() -> Node {
-    elect(follower())
-}
-
-fn elect(mut node: Node) -> Node {
-    node.step(Event::Tick, Time(START_MS + 4_000));
-    receive(&mut node, 2, vote_granted(true, 3), 4_000);
-    receive(&mut node, 2, vote_granted(false, 3), 4_000);
-    assert_eq!((node.role(), node.term()), (Role::Leader, 3));
-    node.step(Event::Synced { index: 3 }, Time(START_MS + 4_000));
-    node
-}
-
-/// Guards against the commit of an entry of an earlier term, which a later leader could still
-/// overwrite, and against the commit of an entry that only the leader has.
-#[test]
-fn commit_requires_an_entry_of_the_current_term() {
-    let mut node = leader();
-    receive(&mut node, 2, append_reply(2, 4_000), 4_010);
-    assert_eq!(
-        node.commit_index(),
-        1,
-        "a quorum has entry 2, but it is of an earlier term"
-    );
-    receive(&mut node, 2, append_reply(3, 4_000), 4_020);
-    assert_eq!(node.commit_index(), 3);
-}
-
-/// Guards against a membership change while the leader does not know whether the previous one is
-/// committed. The quorums of two leaders might then not overlap.
-#[test]
-fn membership_changes_wait_for_an_entry_of_the_current_term() {
-    let mut node = leader();
-    let rejection = |node: &mut Node, ms| {
-        let change = MembershipChange::Remove(VmId(3));
-        let actions = node.step(
-            Event::ChangeMembers {
-                proposal_id: 1,
-                change,
-            },
-            Time(START_MS + ms),
-        );
-        actions.iter().find_map(|a| match a {
-            Action::Rejected { reason, .. } => Some(*reason),
-            _ => None,
-        })
-    };
-    assert_eq!(
-        rejection(&mut node, 4_010),
-        Some(RejectReason::ChangePending)
-    );
-    receive(&mut node, 2, append_reply(3, 4_000), 4_020);
-    assert_eq!(rejection(&mut node, 4_030), None);
-}
-
 /// Guards against an inconsistent disk after a crash during a snapshot installation. Conflicting
 /// entries must be removed before the snapshot is saved, and the commit index that the snapshot implies
 /// must be written after it.
@@ -200,14 +101,6 @@
     })
 }
 
-fn entry(index: u64, term: u64, payload: Payload) -> Entry {
-    Entry {
-        index,
-        term,
-        payload,
-    }
-}
-
 /// Guards against overwritten entries that stay on disk or keep their membership change in effect, and
 /// against a sync reported for them that is counted for the entries that replace them.
 #[test]
@@ -272,74 +165,6 @@
     assert!(!actions.iter().any(outcome), "{actions:?}");
 }
 
-/// Guards against a leader that takes a pause of its own for silence of its peers and steps down,
-/// and against one that never steps down.
-#[test]
-fn leader_steps_down_after_silence_but_not_after_its_own_pause() {
-    let mut node = leader();
-    receive(&mut node, 2, append_reply(3, 4_000), 4_010);
-    // The default election timeout is 2 s at least.
-    let after_pause = 7_000;
-    node.step(Event::Tick, Time(START_MS + after_pause));
-    assert_eq!(node.role(), Role::Leader, "it has to ask its peers first");
-    assert!(!node.has_quorum_contact(Time(START_MS + after_pause)));
-    for ms in (after_pause..after_pause + 2_000).step_by(100) {
-        node.step(Event::Tick, Time(START_MS + ms));
-        assert_eq!(node.role(), Role::Leader);
-    }
-    node.step(Event::Tick, Time(START_MS + after_pause + 2_000));
-    assert_eq!(node.role(), Role::Follower);
-}
-
-/// Guards against a slow disk of the leader that holds back its entries although a quorum can
-/// commit them, and against one sync for each of many proposals in a row.
-#[test]
-fn leader_batches_proposals_for_a_short_time_only() {
-    let mut node = leader();
-    receive(&mut node, 2, append_reply(3, 4_000), 4_010);
-    let mut propose = |ms| {
-        let proposal = Proposal {
-            proposal_id: ms,
-            data: Data::from("a"),
-        };
-        let actions = node.step(Event::Propose(vec![proposal]), Time(START_MS + ms));
-        actions.iter().any(|a| matches!(a, Action::Persist { .. }))
-    };
-    assert!(propose(4_020));
-    assert!(
-        !propose(4_025),
-        "the sync of the first write is in progress"
-    );
-    assert!(
-        propose(4_030),
-        "the leader waits no longer for its own disk"
-    );
-}
-
-/// Guards against a leader that counts itself toward the quorum before its own sync.
-#[test]
-fn leader_counts_itself_after_its_own_sync() {
-    let mut node = leader();
-    receive(&mut node, 2, append_reply(3, 4_000), 4_010);
-    node.step(Event::Synced { index: 3 }, Time(START_MS + 4_010));
-    let data = Data::from("b");
-    node.step(
-        Event::Propose(vec![Proposal {
-            proposal_id: 1,
-            data,
-        }]),
-        Time(START_MS + 4_020),
-    );
-    receive(&mut node, 2, append_reply(4, 4_020), 4_030);
-    assert_eq!(
-        node.commit_index(),
-        3,
-        "the leader has not synced, so only one follower counts"
-    );
-    node.step(Event::Synced { index: 4 }, Time(START_MS + 4_040));
-    assert_eq!(node.commit_index(), 4);
-}
-
 /// Guards against votes that allow two leaders in one term or violate the lease of a leader.
 #[test]
 fn voters_grant_one_vote_per_term() {
