--- a/crates/zinnia-control/src/log_hooks.rs
+++ b/crates/zinnia-control/src/log_hooks.rs
@@ -77,13 +77,21 @@
 }
 
 /// A message with entries and its encoding.
-type EncodedMessage = Option<(Message, Box<RawValue>)>;
+struct EncodedMessage {
+    message: Message,
+    encoded: Box<RawValue>,
+}
 
 /// Sends a message to another member.
 ///
 /// A leader sends the same entries to each member. They are encoded once, since the log thread can
 /// send no heartbeats meanwhile.
-fn send(context: &MemberContext, last_encoded: &Mutex<EncodedMessage>, to: VmId, message: Message) {
+fn send(
+    context: &MemberContext,
+    last_encoded: &Mutex<Option<EncodedMessage>>,
+    to: VmId,
+    message: Message,
+) {
     let Some(addr) = context.address(to) else {
         return;
     };
@@ -93,17 +101,17 @@
         return;
     }
     let mut last = last_encoded.lock().unwrap_or_else(PoisonError::into_inner);
-    if last.as_ref().is_none_or(|(known, _)| *known != message) {
+    if last.as_ref().is_none_or(|l| l.message != message) {
         *last = match to_raw_value(&message) {
-            Ok(encoded) => Some((message, encoded)),
+            Ok(encoded) => Some(EncodedMessage { message, encoded }),
             Err(error) => {
                 tracing::error!(step = "send", %error, "cannot encode a message with log entries");
                 return;
             }
         };
     }
-    if let Some((_, encoded)) = last.as_ref() {
-        context.links.notify(&addr, RAFT_METHOD, encoded);
+    if let Some(last) = last.as_ref() {
+        context.links.notify(&addr, RAFT_METHOD, &last.encoded);
     }
 }
 
--- a/crates/zinnia-plan/src/headroom.rs
+++ b/crates/zinnia-plan/src/headroom.rs
@@ -31,7 +31,7 @@
 /// Part of a team's limit, as a divisor, that headroom takes at most. The rest is for other jobs.
 const MAX_HEADROOM_DIVISOR: u64 = 2;
 /// Part of its expiry time, as a divisor, after which a job no longer leaves headroom in the limit
-/// of its team, so that it is not delayed for ever.
+/// of its team, so that it is not delayed for ever. Jobs that never expire leave none.
 const MAX_YIELD_DIVISOR: i64 = 4;
 
 impl Queue {
@@ -48,7 +48,15 @@
     window_start: Time,
     /// Peaks in the current window and in the one before.
     peaks: [Resources; 2],
-    /// What the runs of urgent jobs use.
+    current: CurrentDemand,
+}
+
+/// What a team's urgent jobs need at a time.
+#[derive(Clone, Copy, Debug, Default)]
+struct CurrentDemand {
+    /// For their waiting tasks and their runs.
+    total: Resources,
+    /// For their runs.
     used: Resources,
 }
 
@@ -119,13 +127,15 @@
             .filter(|q| q.is_urgent())
             .map(|q| q.name.as_str())
             .collect();
-        let mut demands: BTreeMap<&str, (Resources, Resources)> = BTreeMap::new();
+        let mut demands: BTreeMap<&str, CurrentDemand> = BTreeMap::new();
         let live = state.live.iter().filter_map(|id| state.jobs.get(id));
         for job in live.filter(|j| j.status == Status::Open && urgent.contains(j.queue.as_str())) {
-            let (total, used) = demands.entry(&job.team).or_default();
-            for (step, open, assigned) in job.open_tasks(state.at_ms) {
-                *total = total.plus(&step.resources.times(open));
-                *used = used.plus(&step.resources.times(assigned));
+            let demand = demands.entry(&job.team).or_default();
+            for (step, tasks) in job.ready_steps(state.at_ms) {
+                let open = u64::from(step.count).saturating_sub(u64::from(tasks.done));
+                let running = u64::from(tasks.assigned);
+                demand.total = demand.total.plus(&step.resources.times(open));
+                demand.used = demand.used.plus(&step.resources.times(running));
             }
         }
         for team in demands.keys() {
@@ -133,10 +143,9 @@
         }
         for (team, demand) in &mut self.urgent_teams {
             demand.advance(now);
-            let (total, used) = demands.get(team.as_str()).copied().unwrap_or_default();
-            let [current, _] = &mut demand.peaks;
-            *current = current.max(&total);
-            demand.used = used;
+            demand.current = demands.get(team.as_str()).copied().unwrap_or_default();
+            let [peak, _] = &mut demand.peaks;
+            *peak = peak.max(&demand.current.total);
         }
         self.urgent_teams
             .retain(|_, d| d.peaks.iter().any(|p| *p != Resources::default()));
@@ -179,6 +188,6 @@
             return Resources::default();
         }
         let started = self.urgent.started.get(team).copied().unwrap_or_default();
-        demand.reserve(limit, &demand.used.plus(&started))
+        demand.reserve(limit, &demand.current.used.plus(&started))
     }
 }
--- a/crates/zinnia-plan/src/job.rs
+++ b/crates/zinnia-plan/src/job.rs
@@ -144,18 +144,13 @@
             .all(|&a| states.get(a).is_some_and(StepState::is_done))
     }
 
-    /// The steps of due rounds whose dependencies are complete, each with the number of its
-    /// incomplete tasks and of those that are assigned to a worker.
-    pub(crate) fn open_tasks(&self, wall_ms: i64) -> impl Iterator<Item = (&Step, u64, u64)> {
+    /// The steps of due rounds whose dependencies are complete.
+    pub(crate) fn ready_steps(&self, wall_ms: i64) -> impl Iterator<Item = (&Step, &StepState)> {
         let rounds = (0..).zip(&self.rounds);
         let due = rounds.filter(move |(r, _)| self.due_ms(*r) <= wall_ms);
-        let steps = due.flat_map(move |(r, states)| {
-            let specs = (0..).zip(self.spec.steps.iter().zip(states));
-            specs.filter_map(move |(s, row)| self.is_ready(r, s).then_some(row))
-        });
-        steps.map(|(step, state)| {
-            let open = u64::from(step.count).saturating_sub(u64::from(state.done));
-            (step, open, u64::from(state.assigned))
+        due.flat_map(move |(r, states)| {
+            let steps = (0..).zip(self.spec.steps.iter().zip(states));
+            steps.filter_map(move |(s, step)| self.is_ready(r, s).then_some(step))
         })
     }
 
--- a/crates/zinnia-plan/tests/team_headroom.rs
+++ b/crates/zinnia-plan/tests/team_headroom.rs
@@ -126,7 +126,7 @@
     let mut next_later = 1;
     for tick in 0..40_000 / TICK_MS {
         let at = tick * TICK_MS;
-        if at % BURST_INTERVAL_MS == 0 {
+        if at.is_multiple_of(BURST_INTERVAL_MS) {
             for _ in 0..2 {
                 let urgent = Step {
                     estimate_ms: URGENT_MS,
@@ -137,7 +137,7 @@
             }
         }
         // All of them need three fifths of the limit.
-        if at % 2_000 == 0 {
+        if at.is_multiple_of(2_000) {
             let later = Step {
                 estimate_ms: LATER_MS,
                 ..step(6, 2_000)
--- a/crates/zinnia-replica/src/disk.rs
+++ b/crates/zinnia-replica/src/disk.rs
@@ -45,8 +45,8 @@
     queue: VecDeque<Waiting>,
     /// Number of steps in the queue with `blocks`.
     blocking: usize,
-    /// Send time of the last message of the leader to which a contact reply was sent.
-    last_contact: u64,
+    /// Leader and send time of the last message to which a contact reply was sent.
+    last_contact: Option<(VmId, u64)>,
 }
 
 impl Disk {
@@ -75,7 +75,7 @@
             waiting_since: Time::default(),
             queue: VecDeque::new(),
             blocking: 0,
-            last_contact: 0,
+            last_contact: None,
         })
     }
 
@@ -93,14 +93,15 @@
         }
     }
 
-    /// Saves a snapshot and waits for it.
-    pub(crate) fn save_now(&self, snapshot: &Snapshot) -> Result<(), StoreError> {
+    /// Saves a snapshot and waits for it. Returns `false` if the store is closed.
+    pub(crate) fn save_now(&self, snapshot: &Snapshot) -> Result<bool, StoreError> {
         let Some(commands) = &self.commands else {
-            return Ok(());
+            return Ok(true);
         };
         let (tx, rx) = mpsc::channel();
         let _ = commands.send(Command::SaveNow(snapshot.clone(), tx));
-        rx.recv().unwrap_or(Ok(()))
+        // The disk thread always replies while it runs.
+        rx.recv().unwrap_or(Ok(false))
     }
 
     /// Closes the store and waits until its folder is released.
@@ -165,10 +166,10 @@
             }) => Some((*to, *term, *sent)),
             _ => None,
         })?;
-        if sent <= self.last_contact {
+        if self.last_contact == Some((to, sent)) {
             return None;
         }
-        self.last_contact = sent;
+        self.last_contact = Some((to, sent));
         Some((to, Message::contact(term, sent)))
     }
 }
--- a/crates/zinnia-replica/src/disk_thread.rs
+++ b/crates/zinnia-replica/src/disk_thread.rs
@@ -34,8 +34,9 @@
 pub(crate) enum Command {
     /// Perform a job with this number.
     Perform(u64, Job),
-    /// Save a snapshot and reply. After an error, the store is closed as for [`Report::Failed`].
-    SaveNow(Snapshot, mpsc::Sender<Result<(), StoreError>>),
+    /// Save a snapshot and reply whether there is an open store. After an error, the store is closed
+    /// as for [`Report::Failed`].
+    SaveNow(Snapshot, mpsc::Sender<Result<bool, StoreError>>),
     /// Close the store, reply and end the thread.
     Close(mpsc::Sender<()>),
 }
@@ -135,7 +136,7 @@
                 store.append(&entries)?;
                 hard.map_or(Ok(()), |hard| store.save_hard_state(&hard))
             }
-            Job::SaveSnapshot(snapshot) => self.save_now(&snapshot),
+            Job::SaveSnapshot(snapshot) => self.save_now(&snapshot).map(|_| ()),
             Job::Open(store) => {
                 self.store = Some(*store);
                 Ok(())
@@ -143,12 +144,13 @@
         }
     }
 
-    /// Saves a snapshot after all earlier writes.
-    fn save_now(&mut self, snapshot: &Snapshot) -> Result<(), StoreError> {
+    /// Saves a snapshot after all earlier writes. Returns `false` if the store is closed.
+    fn save_now(&mut self, snapshot: &Snapshot) -> Result<bool, StoreError> {
         let Some(store) = self.store.as_mut() else {
-            return Ok(());
+            return Ok(false);
         };
         store.sync()?;
-        store.save_snapshot(snapshot)
+        store.save_snapshot(snapshot)?;
+        Ok(true)
     }
 }
--- a/crates/zinnia-replica/src/thread.rs
+++ b/crates/zinnia-replica/src/thread.rs
@@ -320,9 +320,13 @@
             return false;
         }
         let snapshot = Snapshot::initial(members);
-        if let Err(e) = self.disk.save_now(&snapshot) {
-            self.take_disk_offline(&e);
-            return false;
+        match self.disk.save_now(&snapshot) {
+            Ok(true) => {}
+            Ok(false) => return false,
+            Err(e) => {
+                self.take_disk_offline(&e);
+                return false;
+            }
         }
         let recovered = RecoveredState {
             hard: HardState::default(),
