control: a member accepts the connections of up to 2,048 processes

Cause: a member accepted 256 connections of other processes, and each process has one to the leader. In a cell of 300 machines the leader rejects the rest, whose callers are never answered.

Change: the limit is 2,048, half of the descriptors of a member.

Result: leader_serves_hundreds_of_processes (320 processes) failed before.

--- a/crates/zinnia-control/src/settings.rs
+++ b/crates/zinnia-control/src/settings.rs
@@ -11,6 +11,9 @@
 /// entry, which makes it up to twice as long.
 const MAX_MESSAGE_BYTES: u32 = 24 << 20;
 
+/// Maximum number of connections from other processes. Each process of a cell has one to the leader.
+const MAX_PEER_CONNECTIONS: u32 = 2_048;
+
 /// Settings of a process.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -82,7 +85,7 @@
             addr: self.peer_addr.to_string(),
             call_timeout: Duration::from_secs(1),
             connect_timeout: Duration::from_millis(500),
-            max_connections: 256,
+            max_connections: MAX_PEER_CONNECTIONS,
             max_message: MAX_MESSAGE_BYTES,
             backoff: zinnia_peer::Backoff {
                 initial: Duration::from_millis(20),
