control, plan: other members receive the heartbeats of a large cell for its leader

Cause: each worker keeps a connection open for its heartbeats.

Change: above 800 workers the leader names the other members as receivers of heartbeats. A member answers a heartbeat that the replicated state already contains and passes what it has answered on to the leader every 0.2 s; all others go to the leader at once. A relayed reading of a worker's clock counts as one of its arrival, which is a lower bound. A heartbeat without news wakes no planning pass any more than the 50 ms timer does, when it is relayed.

--- a/crates/zinnia-control/src/context.rs
+++ b/crates/zinnia-control/src/context.rs
@@ -13,10 +13,12 @@
 use tokio::sync::mpsc;
 use zinnia_peer::Links;
 use zinnia_plan::Leader;
+use zinnia_plan::RelayedHeartbeat;
 use zinnia_plan::Reply;
 use zinnia_plan::StartOrder;
 use zinnia_plan::State;
 use zinnia_raft::Node;
+use zinnia_raft::PeerStatus;
 use zinnia_raft::Role;
 use zinnia_replica::Replica;
 use zinnia_replica::clock;
@@ -25,6 +27,8 @@
 use zinnia_types::VmId;
 
 use crate::Settings;
+use crate::heartbeat_relay::Receiver;
+use crate::heartbeat_relay::heartbeat_receivers;
 
 /// Replicated state and, on the leader, its volatile state.
 #[derive(Default)]
@@ -121,6 +125,38 @@
         (self.ready_term.load(Ordering::Relaxed) == term).then_some(term)
     }
 
+    /// Addresses of the members that receive the heartbeats of workers for this leader; empty if it
+    /// receives them itself.
+    pub(crate) fn heartbeat_addrs(&self) -> Vec<String> {
+        let workers = self.cell_state().state.workers.len();
+        let others = self.read(|n| {
+            let receiver = |p: PeerStatus| {
+                Some(Receiver {
+                    addr: n.members().get(p.id)?.http.clone(),
+                    silent_ms: p.silent_ms,
+                })
+            };
+            n.peers()
+                .into_iter()
+                .filter_map(receiver)
+                .collect::<Vec<_>>()
+        });
+        let max_direct = self.settings.max_direct_workers;
+        heartbeat_receivers(workers, max_direct, &others.unwrap_or_default())
+    }
+
+    /// Records heartbeats that another member has answered.
+    pub(crate) fn record_heartbeats(&self, list: &[RelayedHeartbeat]) {
+        let now = clock::now();
+        let mut cell = self.cell_state();
+        let cell = &mut *cell;
+        if let Some(leader) = cell.leader.as_mut() {
+            for relayed in list {
+                leader.relayed_heartbeat(&cell.state, relayed, now);
+            }
+        }
+    }
+
     pub(crate) fn address(&self, vm: VmId) -> Option<String> {
         let known = self.read(|n| n.members().get(vm).map(|m| m.peer.clone()));
         known.flatten().or_else(|| {
--- a/crates/zinnia-control/src/gateway.rs
+++ b/crates/zinnia-control/src/gateway.rs
@@ -11,12 +11,17 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 use zinnia_peer::Links;
+use zinnia_plan::Heartbeat;
 use zinnia_replica::clock;
 use zinnia_types::Time;
 
 use crate::Answer;
 use crate::Request;
 use crate::context::MemberContext;
+use crate::heartbeat_relay::HEARTBEATS_METHOD;
+use crate::heartbeat_relay::RELAY_INTERVAL;
+use crate::heartbeat_relay::RelayBuffer;
+use crate::heartbeat_relay::receiver_of;
 use crate::message::Hello;
 use crate::message::HelloReply;
 
@@ -57,6 +62,8 @@
     leader: Option<String>,
     /// Leader's address for workers and operators.
     control_addr: Option<String>,
+    /// Addresses of the members that receive the heartbeats of workers; empty if the leader does.
+    heartbeat_addrs: Vec<String>,
     /// When the leader last answered a `hello`.
     last_answer: Time,
     next_member: usize,
@@ -68,6 +75,7 @@
     hello: Hello,
     context: Option<Arc<MemberContext>>,
     known: Mutex<KnownCell>,
+    relay: RelayBuffer,
 }
 
 impl Gateway {
@@ -87,6 +95,7 @@
             hello,
             context,
             known: Mutex::new(known),
+            relay: RelayBuffer::default(),
         }
     }
 
@@ -119,6 +128,54 @@
         }
     }
 
+    /// Returns the address to which the worker should send its heartbeats, if known.
+    pub fn heartbeat_addr(&self, worker: &str) -> Option<String> {
+        let own = self.context.as_ref().filter(|c| c.is_leader());
+        let receivers = match own {
+            Some(context) => context.heartbeat_addrs(),
+            None => self.known().heartbeat_addrs.clone(),
+        };
+        let receiver = receiver_of(worker, &receivers).map(str::to_owned);
+        receiver.or_else(|| self.control_addr())
+    }
+
+    /// Handles a heartbeat of a worker: answers it on behalf of the leader if that changes nothing, or
+    /// else sends it to the leader like any request.
+    pub async fn heartbeat(&self, heartbeat: Heartbeat, limit: Duration) -> Answer {
+        if self.answers_heartbeat(&heartbeat) && self.relay.push(heartbeat.clone(), clock::now()) {
+            return Answer::Done;
+        }
+        self.request(&Request::Heartbeat(heartbeat), limit).await
+    }
+
+    /// Whether this process may answer the heartbeat itself: it is another member than the leader,
+    /// hears of it, and the replicated state has all that the heartbeat reports.
+    fn answers_heartbeat(&self, heartbeat: &Heartbeat) -> bool {
+        let Some(context) = self.context.as_ref().filter(|c| !c.is_leader()) else {
+            return false;
+        };
+        self.is_ready() && context.cell_state().state.contains_heartbeat(heartbeat)
+    }
+
+    /// Passes answered heartbeats on to the leader until the process ends.
+    pub(crate) async fn run_heartbeat_relay(self: Arc<Self>) {
+        let Some(context) = &self.context else {
+            return;
+        };
+        loop {
+            sleep(RELAY_INTERVAL).await;
+            let list = self.relay.take(clock::now());
+            if list.is_empty() {
+                continue;
+            }
+            if context.is_leader() {
+                context.record_heartbeats(&list);
+            } else if let Some(addr) = self.known().leader.clone() {
+                self.links.notify(&addr, HEARTBEATS_METHOD, &list);
+            }
+        }
+    }
+
     /// Sends a request to the leader and retries until `limit` has passed.
     ///
     /// A request answered with [`Answer::Busy`] was certainly not carried out; one answered with
@@ -248,6 +305,7 @@
         if reply.ready {
             known.leader = Some(addr.to_owned());
             known.control_addr = reply.control;
+            known.heartbeat_addrs = reply.heartbeat_addrs;
             known.last_answer = clock::now();
         } else {
             known.leader = reply.leader.filter(|l| l != addr);
--- a/crates/zinnia-control/src/lib.rs
+++ b/crates/zinnia-control/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod context;
 mod gateway;
+mod heartbeat_relay;
 mod leader;
 mod log_hooks;
 mod member;
@@ -16,6 +17,9 @@
 mod transport;
 
 pub use gateway::Gateway;
+pub use heartbeat_relay::Receiver;
+pub use heartbeat_relay::heartbeat_receivers;
+pub use heartbeat_relay::receiver_of;
 pub use member::Member;
 pub use message::Answer;
 pub use message::CallerAction;
--- a/crates/zinnia-control/src/message.rs
+++ b/crates/zinnia-control/src/message.rs
@@ -140,6 +140,9 @@
     pub leader: Option<String>,
     /// Leader's address for workers and operators.
     pub control: Option<String>,
+    /// Addresses of the members that receive the heartbeats of workers; empty if the leader does.
+    #[serde(default)]
+    pub heartbeat_addrs: Vec<String>,
     /// Ids and peer addresses of all members.
     pub members: Vec<(zinnia_types::VmId, String)>,
     /// Whether the answering process is the leader and may answer reads.
--- a/crates/zinnia-control/src/process.rs
+++ b/crates/zinnia-control/src/process.rs
@@ -11,6 +11,7 @@
 use serde_json::value::RawValue;
 use zinnia_peer::Links;
 use zinnia_peer::Server;
+use zinnia_plan::RelayedHeartbeat;
 use zinnia_plan::StepId;
 use zinnia_replica::clock;
 use zinnia_types::Code;
@@ -25,6 +26,7 @@
 use crate::Transport;
 use crate::context::MemberContext;
 use crate::context::PolicyClient;
+use crate::heartbeat_relay::HEARTBEATS_METHOD;
 use crate::message::Hello;
 use crate::message::HelloReply;
 use crate::message::RAFT_METHOD;
@@ -77,6 +79,7 @@
             .await
             .with_context(|| format!("cannot listen on {bind}"))?;
         tokio::spawn(Arc::clone(&gateway).run_discovery());
+        tokio::spawn(Arc::clone(&gateway).run_heartbeat_relay());
         Ok(Self {
             gateway,
             member,
@@ -126,6 +129,11 @@
                 let request: Request = decode(&value)?;
                 encode(&context.handle(request).await)
             }
+            (HEARTBEATS_METHOD, Some(context)) => {
+                let list: Vec<RelayedHeartbeat> = decode(&value)?;
+                context.record_heartbeats(&list);
+                Ok(Value::Null)
+            }
             ("hello", Some(context)) => {
                 let hello: Hello = decode(&value)?;
                 encode(&handle_hello(&context, vm, &hello))
@@ -154,12 +162,17 @@
         }
     }
     let leader = context.leader();
+    let heartbeat_addrs = match ready {
+        true => context.heartbeat_addrs(),
+        false => Vec::new(),
+    };
     let members = context.read(|n| {
         let row = |m: &zinnia_raft::Member| (m.id, m.peer.clone());
         n.members().iter().map(row).collect()
     });
     HelloReply {
         control: leader.as_ref().map(|(_, control)| control.clone()),
+        heartbeat_addrs,
         leader: leader.map(|(peer, _)| peer),
         members: members.unwrap_or_default(),
         ready,
--- a/crates/zinnia-control/src/settings.rs
+++ b/crates/zinnia-control/src/settings.rs
@@ -7,6 +7,8 @@
 use zinnia_plan::AdmissionSettings;
 use zinnia_types::VmId;
 
+use crate::heartbeat_relay::fnv1a;
+
 /// Maximum size of a message between processes. The encoding of a message escapes the text of a log
 /// entry, which makes it up to twice as long.
 const MAX_MESSAGE_BYTES: u32 = 24 << 20;
@@ -43,6 +45,8 @@
     pub replace_ms: u64,
     /// Maximum delay of a read of a job that may end soon.
     pub read_wait_ms: u64,
+    /// Number of workers above which the other members receive the heartbeats for the leader.
+    pub max_direct_workers: usize,
     /// Limits of what the leader takes in.
     pub admission: AdmissionSettings,
     /// Settings of the leader's decisions.
@@ -65,6 +69,7 @@
             compact_entries: 4_000,
             replace_ms: 4_000,
             read_wait_ms: 150,
+            max_direct_workers: 800,
             admission: AdmissionSettings::default(),
             plan: zinnia_plan::Settings::default(),
         }
@@ -102,9 +107,6 @@
     /// Returns the id of a founding member. It is the FNV-1a hash of the address, so that all
     /// seeds compute the same members without communication.
     pub(crate) fn founder_id(addr: &str) -> VmId {
-        const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-        const FNV_PRIME: u64 = 0x0100_0000_01b3;
-        let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
-        VmId(addr.bytes().fold(FNV_OFFSET, mix))
+        VmId(fnv1a(addr.bytes()))
     }
 }
--- a/crates/zinnia-control/tests/common/mod.rs
+++ b/crates/zinnia-control/tests/common/mod.rs
@@ -218,6 +218,28 @@
     }
 }
 
+/// Heartbeat of the simulated worker.
+pub(crate) fn worker_heartbeat(sequence: u64, origin: Instant) -> Heartbeat {
+    Heartbeat {
+        incarnation: Incarnation {
+            worker: "w".to_owned(),
+            born: 1,
+            addr: "w:1".to_owned(),
+            pool: "desk".to_owned(),
+            resources: Resources {
+                cpu: 1_000,
+                mem: 100,
+                gpu: 0,
+            },
+            ..Incarnation::default()
+        },
+        sequence,
+        clock_ms: clock_ms(origin),
+        draining: false,
+        remaining_ms: None,
+    }
+}
+
 pub(crate) struct Cell {
     pub(crate) members: Vec<Process>,
     pub(crate) client: Process,
@@ -284,24 +306,7 @@
         let origin = self.origin;
         tokio::spawn(async move {
             for sequence in 1.. {
-                let heartbeat = Heartbeat {
-                    incarnation: Incarnation {
-                        worker: "w".to_owned(),
-                        born: 1,
-                        addr: "w:1".to_owned(),
-                        pool: "desk".to_owned(),
-                        resources: Resources {
-                            cpu: 1_000,
-                            mem: 100,
-                            gpu: 0,
-                        },
-                        ..Incarnation::default()
-                    },
-                    sequence,
-                    clock_ms: clock_ms(origin),
-                    draining: false,
-                    remaining_ms: None,
-                };
+                let heartbeat = worker_heartbeat(sequence, origin);
                 gateway
                     .request(&Request::Heartbeat(heartbeat), Duration::from_secs(1))
                     .await;
--- /dev/null
+++ b/crates/zinnia-plan/src/heartbeat.rs
@@ -0,0 +1,119 @@
+//! Heartbeats of workers, received by the leader itself or by other members on its behalf.
+
+use serde::Deserialize;
+use serde::Serialize;
+use zinnia_types::Time;
+
+use crate::Incarnation;
+use crate::Leader;
+use crate::Record;
+use crate::State;
+
+/// A worker's heartbeat.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The incarnation that sends it.
+    #[serde(rename = "life")]
+    pub incarnation: Incarnation,
+    /// Sequence number within the incarnation.
+    pub sequence: u64,
+    /// Reading of the worker's clock, in milliseconds.
+    pub clock_ms: u64,
+    /// Whether the worker is about to shut down.
+    pub draining: bool,
+    /// Minimum time until it shuts down, if known.
+    pub remaining_ms: Option<u64>,
+}
+
+/// What a heartbeat tells the leader that another member has answered on its behalf.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedHeartbeat {
+    /// Name of the worker.
+    pub worker: String,
+    /// Start time of the incarnation that sent it.
+    pub born: i64,
+    /// Sequence number within the incarnation.
+    pub sequence: u64,
+    /// Reading of the worker's clock when it was sent, in milliseconds.
+    pub clock_ms: u64,
+    /// How long ago the member received it.
+    pub age_ms: u64,
+}
+
+impl Heartbeat {
+    /// What a member passes on to the leader once it has answered.
+    pub fn relayed(&self, age_ms: u64) -> RelayedHeartbeat {
+        RelayedHeartbeat {
+            worker: self.incarnation.worker.clone(),
+            born: self.incarnation.born,
+            sequence: self.sequence,
+            clock_ms: self.clock_ms,
+            age_ms,
+        }
+    }
+}
+
+impl State {
+    /// Whether the state already contains all that the heartbeat reports. Any member may answer such
+    /// a heartbeat; it only shows that the worker is alive.
+    pub fn contains_heartbeat(&self, heartbeat: &Heartbeat) -> bool {
+        let worker = self.workers.get(&heartbeat.incarnation.worker);
+        worker.is_some_and(|w| {
+            w.incarnation.born == heartbeat.incarnation.born
+                && !w.left
+                && (w.draining || !heartbeat.draining)
+        })
+    }
+}
+
+impl Leader {
+    /// Processes a heartbeat; returns the records to propose.
+    pub fn heartbeat(&mut self, state: &State, heartbeat: &Heartbeat, now: Time) -> Vec<Record> {
+        let incarnation = &heartbeat.incarnation;
+        let known = state.workers.get(&incarnation.worker);
+        if known.is_some_and(|w| {
+            w.incarnation.born > incarnation.born
+                || (w.incarnation.born == incarnation.born && w.left)
+        }) {
+            return Vec::new();
+        }
+        let view = self.view(&incarnation.worker, incarnation.born, now);
+        if view.born != incarnation.born || view.sequence > heartbeat.sequence {
+            return Vec::new();
+        }
+        view.sequence = heartbeat.sequence;
+        view.last_heard = now;
+        view.read_clock(heartbeat.clock_ms, now);
+        let mut records = Vec::new();
+        let known = known.filter(|w| w.incarnation.born == incarnation.born);
+        if known.is_none() {
+            records.push(Record::AddIncarnation(incarnation.clone()));
+        }
+        // Committed before the heartbeat is acknowledged, so that a later leader starts no task on
+        // the worker either.
+        if heartbeat.draining && known.is_none_or(|w| !w.draining) {
+            records.push(Record::Drain {
+                worker: incarnation.worker.clone(),
+                born: incarnation.born,
+            });
+        }
+        records
+    }
+
+    /// Processes a heartbeat that another member has answered.
+    pub fn relayed_heartbeat(&mut self, state: &State, relayed: &RelayedHeartbeat, now: Time) {
+        let known = state.workers.get(&relayed.worker);
+        if known.is_none_or(|w| w.left || w.incarnation.born != relayed.born) {
+            return;
+        }
+        let view = self.view(&relayed.worker, relayed.born, now);
+        if view.born != relayed.born || view.sequence > relayed.sequence {
+            return;
+        }
+        view.sequence = relayed.sequence;
+        let heard_at = Time(now.0.saturating_sub(relayed.age_ms));
+        view.last_heard = view.last_heard.max(heard_at);
+        // The reading is older than `now`, so it is a lower bound of the worker's clock.
+        view.read_clock(relayed.clock_ms, now);
+    }
+}
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -5,11 +5,9 @@
 use zinnia_types::Time;
 
 use crate::Backlog;
-use crate::Heartbeat;
 use crate::Plan;
 use crate::PolicyQuery;
 use crate::QueryBudget;
-use crate::Record;
 use crate::Settings;
 use crate::State;
 use crate::headroom::UrgentTeams;
@@ -76,7 +74,7 @@
         lease + lease / 40
     }
 
-    fn view(&mut self, worker: &str, born: i64, now: Time) -> &mut WorkerView {
+    pub(crate) fn view(&mut self, worker: &str, born: i64, now: Time) -> &mut WorkerView {
         let (base_fence, until) = (self.base_fence, self.inherited_until());
         let lease = self.longest_lease_ms();
         let index = self.indices.assign(worker);
@@ -94,39 +92,6 @@
         view
     }
 
-    /// Processes a heartbeat; returns the records to propose.
-    pub fn heartbeat(&mut self, state: &State, heartbeat: &Heartbeat, now: Time) -> Vec<Record> {
-        let incarnation = &heartbeat.incarnation;
-        let known = state.workers.get(&incarnation.worker);
-        if known.is_some_and(|w| {
-            w.incarnation.born > incarnation.born
-                || (w.incarnation.born == incarnation.born && w.left)
-        }) {
-            return Vec::new();
-        }
-        let view = self.view(&incarnation.worker, incarnation.born, now);
-        if view.born != incarnation.born || view.sequence > heartbeat.sequence {
-            return Vec::new();
-        }
-        view.sequence = heartbeat.sequence;
-        view.last_heard = now;
-        view.read_clock(heartbeat.clock_ms, now);
-        let mut records = Vec::new();
-        let known = known.filter(|w| w.incarnation.born == incarnation.born);
-        if known.is_none() {
-            records.push(Record::AddIncarnation(incarnation.clone()));
-        }
-        // Committed before the heartbeat is acknowledged, so that a later leader starts no task on
-        // the worker either.
-        if heartbeat.draining && known.is_none_or(|w| !w.draining) {
-            records.push(Record::Drain {
-                worker: incarnation.worker.clone(),
-                born: incarnation.born,
-            });
-        }
-        records
-    }
-
     /// Processes the answer of the placement policy; `None` if the query failed.
     pub fn policy_answered(
         &mut self,
