--- a/crates/zinnia-daemon/src/daemon.rs
+++ b/crates/zinnia-daemon/src/daemon.rs
@@ -29,6 +29,7 @@
 use zinnia_cell::KeyRole;
 use zinnia_cell::Vm;
 use zinnia_http::Client;
+use zinnia_http::ClientSettings;
 use zinnia_peer::ClusterKey;
 use zinnia_peer::CountedStream;
 use zinnia_peer::Links;
@@ -115,7 +116,11 @@
             withdrawn_file: Mutex::new(recovered_data.withdrawn_file),
             journal: recovered_data.journal,
             links: Links::new(peer.clone(), recovered_data.id),
-            worker_client: Client::with_max_idle(WORKER_TIMEOUT, 1),
+            worker_client: Client::with_settings(&ClientSettings {
+                timeout: WORKER_TIMEOUT,
+                max_idle: 1,
+                ..ClientSettings::default()
+            }),
             call_client: Client::new(Duration::from_secs(65)),
             peer_addresses: Mutex::default(),
             runtime: Handle::current(),
--- a/crates/zinnia-http/src/client.rs
+++ b/crates/zinnia-http/src/client.rs
@@ -23,11 +23,29 @@
 
 /// Largest accepted response body in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
-/// Default limit on idle connections per server.
-const MAX_IDLE_CONNECTIONS: usize = 64;
-/// Time after which an idle connection is closed; shorter than the idle timeout of the servers, so that
-/// no request is sent on a connection that the server is closing.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Settings of a [`Client`].
+#[derive(Clone, Debug)]
+pub struct ClientSettings {
+    /// Timeout of a request. The connect timeout is half of it, so that a server that does not complete the
+    /// handshake is reported as [`SendError::NotSent`].
+    pub timeout: Duration,
+    /// Limit on idle connections per server. With 0, each request has a connection of its own.
+    pub max_idle: usize,
+    /// Time after which an idle connection is closed; shorter than the idle timeout of the servers, so that
+    /// no request is sent on a connection that the server is closing.
+    pub idle_timeout: Duration,
+}
+
+impl Default for ClientSettings {
+    fn default() -> Self {
+        Self {
+            timeout: Duration::from_secs(10),
+            max_idle: 64,
+            idle_timeout: Duration::from_secs(30),
+        }
+    }
+}
 
 /// HTTP client with a connection pool; cheap to clone.
 #[derive(Clone, Debug)]
@@ -37,25 +55,28 @@
 }
 
 impl Client {
-    /// Creates a client whose requests time out after `timeout` unless the response is complete.
-    ///
-    /// The connect timeout is half of it, so that a server that does not complete the handshake is reported
-    /// as [`SendError::NotSent`].
+    /// Creates a client with the default settings and this request timeout.
     pub fn new(timeout: Duration) -> Self {
-        Self::with_max_idle(timeout, MAX_IDLE_CONNECTIONS)
+        Self::with_settings(&ClientSettings {
+            timeout,
+            ..ClientSettings::default()
+        })
     }
 
-    /// Like [`Client::new`], with a limit on idle connections per server.
-    pub fn with_max_idle(timeout: Duration, max_idle: usize) -> Self {
+    /// Creates a client.
+    pub fn with_settings(settings: &ClientSettings) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(timeout / 2));
+        connector.set_connect_timeout(Some(settings.timeout / 2));
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_max_idle_per_host(max_idle)
+            .pool_idle_timeout(settings.idle_timeout)
+            .pool_max_idle_per_host(settings.max_idle)
             .build(connector);
-        Self { inner, timeout }
+        Self {
+            inner,
+            timeout: settings.timeout,
+        }
     }
 
     /// Sends `body` as JSON and returns the status and body of the response, also for error statuses.
--- a/crates/zinnia-http/src/lib.rs
+++ b/crates/zinnia-http/src/lib.rs
@@ -8,5 +8,6 @@
 mod error;
 
 pub use client::Client;
+pub use client::ClientSettings;
 pub use decode::decode_response;
 pub use error::SendError;
--- a/crates/zinnia-plan/src/orders.rs
+++ b/crates/zinnia-plan/src/orders.rs
@@ -120,7 +120,7 @@
                 view.failed_calls += 1;
                 view.next_poll = now;
                 // The open poll may wait for a run end for a long time. Its answer is ignored.
-                view.open_poll = None;
+                view.close_poll();
                 None
             }
         }
--- a/crates/zinnia-plan/src/plan.rs
+++ b/crates/zinnia-plan/src/plan.rs
@@ -18,6 +18,9 @@
     pub lease_ms: u64,
     /// Longest time that a worker may hold back the answer to a poll until a run ends.
     pub poll_wait_ms: u64,
+    /// Maximum number of open polls of workers without runs. A new leader polls all workers; those with
+    /// runs, whose leases must be renewed, are not delayed by the others.
+    pub max_idle_polls: usize,
     /// Time without a message from a worker after which it gets no new tasks.
     pub silence_ms: u64,
     /// Interval between two stop orders for the same run, and delay before a failed poll is
@@ -40,6 +43,7 @@
             max_lease_ms: 10_000,
             lease_ms: 9_000,
             poll_wait_ms: 1_500,
+            max_idle_polls: 128,
             silence_ms: 2_600,
             retry_ms: 400,
             min_stall_ms: 1_000,
@@ -86,6 +90,8 @@
     pub deadline_ms: Option<u64>,
     /// How long the worker may hold back the answer until a run ends.
     pub wait_ms: u64,
+    /// Whether the worker has no runs, so that usually no further poll follows.
+    pub is_idle: bool,
     /// Time of sending.
     pub sent_at: Time,
 }
--- a/crates/zinnia-plan/src/polls.rs
+++ b/crates/zinnia-plan/src/polls.rs
@@ -21,6 +21,7 @@
     pub(crate) fn poll_workers(&mut self, state: &State, now: Time, plan: &mut Plan) {
         let lease = self.settings.lease_ms;
         let wait = self.settings.poll_wait_ms;
+        let mut idle_polls = self.views.values().filter(|v| v.has_open_idle_poll).count();
         for (name, view) in &mut self.views {
             if view.open_poll.is_some() || now < view.next_poll {
                 continue;
@@ -29,9 +30,12 @@
                 continue;
             };
             let unconfirmed = view.confirmed_fence < view.fence;
-            if worker.runs.is_empty() && !unconfirmed {
+            let is_idle = worker.runs.is_empty();
+            if is_idle && (!unconfirmed || idle_polls >= self.settings.max_idle_polls) {
                 continue;
             }
+            idle_polls += usize::from(is_idle);
+            view.has_open_idle_poll = is_idle;
             view.open_poll = Some(now);
             // A poll without an answer may still have renewed the lease. After a failure the polls
             // request no renewal, since otherwise the lease could never be known to have expired.
@@ -51,6 +55,7 @@
                 } else {
                     wait
                 },
+                is_idle,
                 sent_at: now,
             });
         }
@@ -71,7 +76,7 @@
         if view.born != poll.born || view.open_poll != Some(poll.sent_at) {
             return Vec::new();
         }
-        view.open_poll = None;
+        view.close_poll();
         let Some(report) = report else {
             view.failed_calls += 1;
             view.next_poll = now.after(retry_ms);
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -1,4 +1,4 @@
-//! Messages from workers, and the leader's view of one worker incarnation.
+//! Answers of workers to polls, and the leader's view of one worker incarnation.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -7,7 +7,6 @@
 use zinnia_types::Time;
 
 use crate::End;
-use crate::Incarnation;
 use crate::Settings;
 use crate::Step;
 use crate::TaskId;
@@ -19,22 +18,6 @@
 /// A task counts as stalled when it makes no progress in its estimated run time divided by this.
 const MIN_SPEED_DIVISOR: u64 = 6;
 
-/// A worker's heartbeat.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Heartbeat {
-    /// The incarnation that sends it.
-    #[serde(rename = "life")]
-    pub incarnation: Incarnation,
-    /// Sequence number within the incarnation.
-    pub sequence: u64,
-    /// Reading of the worker's clock, in milliseconds.
-    pub clock_ms: u64,
-    /// Whether the worker is about to shut down.
-    pub draining: bool,
-    /// Minimum time until it shuts down, if known.
-    pub remaining_ms: Option<u64>,
-}
-
 /// State of a run that is active on a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ActiveRun {
@@ -143,6 +126,8 @@
     pub(crate) sequence: u64,
     /// When the open poll was sent; `None` without an open poll.
     pub(crate) open_poll: Option<Time>,
+    /// Whether the open poll was sent to a worker without runs.
+    pub(crate) has_open_idle_poll: bool,
     /// When the next poll is due.
     pub(crate) next_poll: Time,
     pub(crate) orders: BTreeMap<(TaskId, u32), SentOrder>,
@@ -179,6 +164,7 @@
             last_heard: Time(0),
             sequence: 0,
             open_poll: None,
+            has_open_idle_poll: false,
             next_poll: now,
             orders: BTreeMap::new(),
             progress: BTreeMap::new(),
@@ -189,6 +175,12 @@
         }
     }
 
+    /// Records that no poll is open any more.
+    pub(crate) fn close_poll(&mut self) {
+        self.open_poll = None;
+        self.has_open_idle_poll = false;
+    }
+
     /// Records a reading of the worker's clock that arrived at `now`.
     pub(crate) fn read_clock(&mut self, clock_ms: u64, now: Time) {
         // A reading that was delayed in transit is below the estimate, so the larger value is kept.
