plan, control: passes merge views and workers; heartbeats wake no pass

Cause: each pass looked up every idle worker by name, 5% of the samples of a profile of the leader with 200 workers (perf, soak without faults and 64 callers), and each heartbeat woke a pass although it changes nothing that a pass decides: 230 a second with 350 workers.

Change: one function walks views and workers of the state together; four loops use it. A heartbeat with news wakes a pass when its record is applied, any other one none. Requests at the leader have a function each.

--- a/crates/zinnia-control/src/gateway.rs
+++ b/crates/zinnia-control/src/gateway.rs
@@ -168,6 +168,7 @@
             if list.is_empty() {
                 continue;
             }
+            metrics::counter!("zinnia_relayed_heartbeats_total").increment(list.len() as u64);
             if context.is_leader() {
                 context.record_heartbeats(&list);
             } else if let Some(addr) = self.known().leader.clone() {
--- a/crates/zinnia-control/src/requests.rs
+++ b/crates/zinnia-control/src/requests.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use zinnia_plan::Backlog;
+use zinnia_plan::Document;
+use zinnia_plan::Heartbeat;
 use zinnia_plan::Job;
 use zinnia_plan::JobSpec;
 use zinnia_plan::Leader;
@@ -46,87 +48,91 @@
             return Answer::Elsewhere(self.leader().map(|(peer, _)| peer));
         }
         match request {
-            Request::Caller(request) => {
-                if request.action == CallerAction::Get {
-                    self.wait_for_end(&request).await;
-                }
-                match self.decide(request) {
-                    Decision::Answer(answer) => self.confirm_leader(answer),
-                    Decision::Record(record) => self.commit(vec![record]).await,
-                }
-            }
-            Request::Publish { raw, document } => {
-                if let Some(error) = document.find_error() {
-                    return Answer::Invalid(error.to_string());
-                }
-                tracing::info!(
-                    event = "document",
-                    version = document.version,
-                    held = self.cell_state().state.document.version,
-                    "document received"
-                );
-                if self.cell_state().state.document.version >= document.version {
-                    return self.confirm_leader(Answer::Done);
-                }
-                self.commit(vec![Record::Document { raw, document }]).await
-            }
-            Request::Read => {
-                let raw = self.cell_state().state.raw.clone();
-                let answer = if raw.is_empty() {
-                    Answer::Busy(RETRY_AFTER_MS)
-                } else {
-                    Answer::Document(raw)
-                };
-                self.confirm_leader(answer)
-            }
-            Request::Heartbeat(heartbeat) => {
-                let records = {
-                    let mut cell = self.cell_state();
-                    let cell = &mut *cell;
-                    let Some(leader) = cell.leader.as_mut() else {
-                        return Answer::Busy(RETRY_AFTER_MS);
-                    };
-                    leader.heartbeat(&cell.state, &heartbeat, clock::now())
-                };
-                self.plan_wakeup.notify_one();
-                if records.is_empty() {
-                    return Answer::Done;
-                }
-                tracing::info!(
-                    event = "worker",
-                    worker = heartbeat.incarnation.worker,
-                    born = heartbeat.incarnation.born,
-                    pool = heartbeat.incarnation.pool,
-                    draining = heartbeat.draining,
-                    "worker is new or starts to drain"
-                );
-                self.commit(records).await
-            }
-            Request::Leave { worker, born } => {
-                let known = self
-                    .cell_state()
-                    .state
-                    .workers
-                    .get(&worker)
-                    .map(|w| w.incarnation.born);
-                let Some(known) = known.filter(|k| born.is_none_or(|b| b == *k)) else {
-                    return Answer::Done;
-                };
-                tracing::info!(
-                    event = "worker",
-                    worker,
-                    born = known,
-                    "worker has shut down"
-                );
-                let left = Record::EndIncarnation {
-                    worker,
-                    born: known,
-                };
-                self.commit(vec![left]).await
-            }
+            Request::Caller(request) => self.handle_caller(request).await,
+            Request::Publish { raw, document } => self.publish(raw, document).await,
+            Request::Read => self.read_document(),
+            Request::Heartbeat(heartbeat) => self.heartbeat(&heartbeat).await,
+            Request::Leave { worker, born } => self.end_incarnation(worker, born).await,
         }
     }
 
+    async fn handle_caller(&self, request: CallerRequest) -> Answer {
+        if request.action == CallerAction::Get {
+            self.wait_for_end(&request).await;
+        }
+        match self.decide(request) {
+            Decision::Answer(answer) => self.confirm_leader(answer),
+            Decision::Record(record) => self.commit(vec![record]).await,
+        }
+    }
+
+    async fn publish(&self, raw: String, document: Document) -> Answer {
+        if let Some(error) = document.find_error() {
+            return Answer::Invalid(error.to_string());
+        }
+        let held = self.cell_state().state.document.version;
+        tracing::info!(
+            event = "document",
+            version = document.version,
+            held,
+            "document received"
+        );
+        if held >= document.version {
+            return self.confirm_leader(Answer::Done);
+        }
+        self.commit(vec![Record::Document { raw, document }]).await
+    }
+
+    fn read_document(&self) -> Answer {
+        let raw = self.cell_state().state.raw.clone();
+        let answer = match raw.is_empty() {
+            true => Answer::Busy(RETRY_AFTER_MS),
+            false => Answer::Document(raw),
+        };
+        self.confirm_leader(answer)
+    }
+
+    async fn heartbeat(&self, heartbeat: &Heartbeat) -> Answer {
+        let records = {
+            let mut cell = self.cell_state();
+            let cell = &mut *cell;
+            let Some(leader) = cell.leader.as_mut() else {
+                return Answer::Busy(RETRY_AFTER_MS);
+            };
+            leader.heartbeat(&cell.state, heartbeat, clock::now())
+        };
+        if records.is_empty() {
+            return Answer::Done;
+        }
+        tracing::info!(
+            event = "worker",
+            worker = heartbeat.incarnation.worker,
+            born = heartbeat.incarnation.born,
+            pool = heartbeat.incarnation.pool,
+            draining = heartbeat.draining,
+            "worker is new or starts to drain"
+        );
+        self.commit(records).await
+    }
+
+    /// Handles the shutdown of a worker's incarnation; without `born`, of the current one.
+    async fn end_incarnation(&self, worker: String, born: Option<i64>) -> Answer {
+        let current = {
+            let cell = self.cell_state();
+            cell.state
+                .workers
+                .get(&worker)
+                .map(|w| w.incarnation.born)
+                .filter(|current| born.is_none_or(|b| b == *current))
+        };
+        let Some(born) = current else {
+            return Answer::Done;
+        };
+        tracing::info!(event = "worker", worker, born, "worker has shut down");
+        self.commit(vec![Record::EndIncarnation { worker, born }])
+            .await
+    }
+
     /// Delays the read of a job that may end soon until it ends. Callers poll at the time when they
     /// expect the end; without the delay they would learn of an end shortly after a read only with
     /// the next one.
--- a/crates/zinnia-control/src/transport.rs
+++ b/crates/zinnia-control/src/transport.rs
@@ -35,6 +35,6 @@
 
 impl fmt::Debug for Transport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Port")
+        f.write_str("Transport")
     }
 }
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -21,6 +21,7 @@
 use crate::waiting::waiting_steps;
 use crate::worker_index::WorkerIndex;
 use crate::worker_index::WorkerIndices;
+use crate::worker_view::current_workers;
 
 /// Maximum number of workers in one query to the placement policy.
 pub(crate) const MAX_QUERY_WORKERS: usize = 30;
@@ -73,17 +74,10 @@
     }
 
     /// Returns the free capacity of all workers that accept tasks.
-    fn worker_capacities<'a>(&self, state: &'a State, now: Time) -> Capacities<'a> {
+    fn worker_capacities<'a>(&mut self, state: &'a State, now: Time) -> Capacities<'a> {
         let mut capacities = Capacities::new(self.indices.len());
-        // Both maps are sorted by name, so that a merge finds the pairs in one pass.
-        let mut views = self.views.iter().peekable();
-        for (name, worker) in &state.workers {
-            while views.next_if(|(other, _)| *other < name).is_some() {}
-            let Some((_, view)) = views.next_if(|(other, _)| *other == name) else {
-                continue;
-            };
+        for (name, view, worker) in current_workers(&mut self.views, state) {
             let usable = !worker.left
-                && view.born == worker.incarnation.born
                 && view.confirmed_fence == view.fence
                 && !worker.draining
                 && view.failed_calls == 0
--- a/crates/zinnia-plan/src/polls.rs
+++ b/crates/zinnia-plan/src/polls.rs
@@ -16,19 +16,17 @@
 use crate::worker_view::OrderState;
 use crate::worker_view::Progress;
 use crate::worker_view::WorkerView;
+use crate::worker_view::current_workers;
 
 impl Leader {
     pub(crate) fn poll_workers(&mut self, state: &State, now: Time, plan: &mut Plan) {
         let lease = self.settings.lease_ms;
         let wait = self.settings.poll_wait_ms;
         let mut idle_polls = self.views.values().filter(|v| v.has_open_idle_poll).count();
-        for (name, view) in &mut self.views {
+        for (name, view, worker) in current_workers(&mut self.views, state) {
             if view.open_poll.is_some() || now < view.next_poll {
                 continue;
             }
-            let Some(worker) = view.current_worker(state, name) else {
-                continue;
-            };
             let unconfirmed = view.confirmed_fence < view.fence;
             let is_idle = worker.runs.is_empty();
             if is_idle && (!unconfirmed || idle_polls >= self.settings.max_idle_polls) {
@@ -44,7 +42,7 @@
                 _ => None,
             };
             plan.polls.push(Poll {
-                worker: name.clone(),
+                worker: name.to_owned(),
                 born: view.born,
                 addr: worker.incarnation.addr.clone(),
                 fence: view.fence,
--- a/crates/zinnia-plan/src/runs.rs
+++ b/crates/zinnia-plan/src/runs.rs
@@ -10,16 +10,12 @@
 use crate::Status;
 use crate::Task;
 use crate::TaskId;
-use crate::Worker;
-use crate::worker_view::WorkerView;
+use crate::worker_view::current_workers;
 
 impl Leader {
     /// Releases the runs of workers whose leases have certainly expired.
     pub(crate) fn expire_leases(&mut self, state: &State, now: Time, plan: &mut Plan) {
-        for (name, view) in &mut self.views {
-            let Some(worker) = view.current_worker(state, name) else {
-                continue;
-            };
+        for (_, view, worker) in current_workers(&mut self.views, state) {
             if worker.runs.is_empty() || view.lease_expired || !view.leases_expired(now) {
                 continue;
             }
@@ -45,10 +41,7 @@
     pub(crate) fn stop_runs(&mut self, state: &State, now: Time, plan: &mut Plan) {
         let retry_ms = self.settings.retry_ms;
         let suspect_ms = self.settings.suspect_ms;
-        for (name, view) in &mut self.views {
-            let Some(worker) = view.current_worker(state, name) else {
-                continue;
-            };
+        for (name, view, worker) in current_workers(&mut self.views, state) {
             view.stop_times
                 .retain(|_, at| now.since(*at) < retry_ms * 4);
             view.orders.retain(|key, _| worker.runs.contains(key));
@@ -66,7 +59,7 @@
                 if unwanted && view.stop_times.get(&(task, run)).is_none_or(is_due) {
                     view.stop_times.insert((task, run), now);
                     plan.stops.push(RunOrder {
-                        worker: name.clone(),
+                        worker: name.to_owned(),
                         born: view.born,
                         addr: worker.incarnation.addr.clone(),
                         fence: view.fence,
@@ -97,11 +90,3 @@
     let is_assigned = |t: &Task| t.run == run && t.worker.is_some();
     !step.gang || states.is_done() || states.tasks.iter().all(is_assigned)
 }
-
-impl WorkerView {
-    /// Returns the worker's state if it still holds the incarnation of this view.
-    pub(crate) fn current_worker<'a>(&self, state: &'a State, name: &str) -> Option<&'a Worker> {
-        let worker = state.workers.get(name)?;
-        (worker.incarnation.born == self.born).then_some(worker)
-    }
-}
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -8,8 +8,10 @@
 
 use crate::End;
 use crate::Settings;
+use crate::State;
 use crate::Step;
 use crate::TaskId;
+use crate::Worker;
 use crate::worker_index::WorkerIndex;
 
 /// Maximum share, in percent, by which a worker's clock may run slow.
@@ -223,3 +225,19 @@
         }
     }
 }
+
+/// Returns the views of incarnations that are current in the state, each with the name and the state of
+/// its worker.
+pub(crate) fn current_workers<'v, 's>(
+    views: &'v mut BTreeMap<String, WorkerView>,
+    state: &'s State,
+) -> impl Iterator<Item = (&'s str, &'v mut WorkerView, &'s Worker)> {
+    // Both maps are sorted by name, so that a merge finds the pairs in one pass. A lookup of each name
+    // would take most of the time of a pass in a cell with thousands of workers.
+    let mut workers = state.workers.iter().peekable();
+    views.iter_mut().filter_map(move |(name, view)| {
+        while workers.next_if(|(other, _)| *other < name).is_some() {}
+        let (name, worker) = workers.next_if(|(other, _)| *other == name)?;
+        (worker.incarnation.born == view.born).then_some((name.as_str(), view, worker))
+    })
+}
