replica: entries are applied in order behind a blocked step

Cause: an entry that was to be applied while a step blocked it, such as a new term that is being stored, waited for the last submitted write. Entries that were committed after it were applied as soon as the step was done, before it. The state of the member then differed from that of the others; a start applied after its end left the task assigned, and the next leader ran it again.

Change: a blocked action waits for the step that blocks it, and blocks the later ones until it is performed.

--- a/crates/zinnia-replica/src/disk.rs
+++ b/crates/zinnia-replica/src/disk.rs
@@ -136,15 +136,29 @@
         });
     }
 
+    /// Adds a step that need not wait for a write itself, behind the steps that block it. Until it is
+    /// due, it blocks as well: entries must be applied in order.
+    pub(crate) fn defer_blocked(&mut self, step: Step) {
+        let blocker = self.queue.iter().rev().find(|w| w.blocks);
+        let job = blocker.map_or(self.synced, |w| w.job);
+        self.blocking += 1;
+        self.queue.push_back(Waiting {
+            job,
+            blocks: true,
+            step,
+        });
+    }
+
     /// Whether a step blocks actions that may otherwise precede a sync.
     pub(crate) fn is_blocked(&self) -> bool {
         self.blocking > 0
     }
 
-    /// Removes the next step if it is due.
+    /// Removes the next step that is due. A step that waits for an earlier write than those before it
+    /// is due earlier.
     pub(crate) fn next_due(&mut self) -> Option<Step> {
-        let synced = self.synced;
-        let waiting = self.queue.pop_front_if(|w| w.job <= synced)?;
+        let index = self.queue.iter().position(|w| w.job <= self.synced)?;
+        let waiting = self.queue.remove(index)?;
         self.blocking -= usize::from(waiting.blocks);
         Some(waiting.step)
     }
--- a/crates/zinnia-replica/src/thread.rs
+++ b/crates/zinnia-replica/src/thread.rs
@@ -222,8 +222,12 @@
                     let install = Action::InstallSnapshot { snapshot };
                     self.disk.defer(Step::Perform(install), true);
                 }
-                action if action.may_precede_sync() && !blocks && !self.disk.is_blocked() => {
-                    self.perform_action(action);
+                action if action.may_precede_sync() && !blocks => {
+                    if self.disk.is_blocked() {
+                        self.disk.defer_blocked(Step::Perform(action));
+                    } else {
+                        self.perform_action(action);
+                    }
                 }
                 action => self.disk.defer(Step::Perform(action), blocks),
             }
--- a/crates/zinnia-replica/tests/common/mod.rs
+++ b/crates/zinnia-replica/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::mpsc;
 use std::time::Duration;
 
@@ -31,23 +32,58 @@
 /// Disk whose syncs block while it is paused.
 #[derive(Default)]
 pub(crate) struct PausableDisk {
-    paused: Mutex<bool>,
-    resumed: Condvar,
+    state: Mutex<DiskState>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct DiskState {
+    paused: bool,
+    /// Number of syncs that pass although the disk is paused.
+    allowed: u32,
+    /// Whether a sync is blocked.
+    blocked: bool,
 }
 
 impl PausableDisk {
+    fn state(&self) -> MutexGuard<'_, DiskState> {
+        self.state.lock().expect("the lock is not poisoned")
+    }
+
+    fn wait_while(&self, mut condition: impl FnMut(&mut DiskState) -> bool) {
+        let waited = self.changed.wait_while(self.state(), |s| condition(s));
+        drop(waited.expect("the lock is not poisoned"));
+    }
+
     pub(crate) fn set_paused(&self, paused: bool) {
-        *self.paused.lock().expect("the lock is not poisoned") = paused;
-        self.resumed.notify_all();
+        self.state().paused = paused;
+        self.changed.notify_all();
     }
 
-    fn wait_until_resumed(&self) {
-        let paused = self.paused.lock().expect("the lock is not poisoned");
-        drop(
-            self.resumed
-                .wait_while(paused, |paused| *paused)
-                .expect("the lock is not poisoned"),
-        );
+    /// Lets the blocked sync of a paused disk pass.
+    pub(crate) fn pass_one_sync(&self) {
+        let mut state = self.state();
+        state.allowed += 1;
+        state.blocked = false;
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    /// Waits until a sync is blocked.
+    pub(crate) fn wait_for_sync(&self) {
+        self.wait_while(|s| !s.blocked);
+    }
+
+    /// Blocks a sync while the disk is paused.
+    fn sync(&self) {
+        {
+            let mut state = self.state();
+            state.blocked = state.paused && state.allowed == 0;
+        }
+        self.changed.notify_all();
+        self.wait_while(|s| s.paused && s.allowed == 0);
+        let mut state = self.state();
+        state.allowed = state.allowed.saturating_sub(1);
     }
 }
 
@@ -55,6 +91,8 @@
     pub(crate) replica: Arc<Replica<()>>,
     pub(crate) sent: mpsc::Receiver<(VmId, Message)>,
     pub(crate) disk: Arc<PausableDisk>,
+    /// Indices of the entries in the order in which they were applied.
+    pub(crate) applied: Arc<Mutex<Vec<u64>>>,
     _dir: tempfile::TempDir,
 }
 
@@ -67,7 +105,7 @@
         let options = StoreOptions {
             disk_hook: Some(Arc::new(move |op| {
                 if matches!(op, DiskOp::Sync { .. }) {
-                    gate.wait_until_resumed();
+                    gate.sync();
                 }
                 Ok(u64::MAX)
             })),
@@ -90,11 +128,17 @@
         store.save_snapshot(&first).expect("the snapshot is saved");
         recovered.snapshot = Some(first);
         let (tx, sent) = mpsc::channel();
+        let applied = Arc::<Mutex<Vec<u64>>>::default();
+        let applier = Arc::clone(&applied);
         let hooks = Hooks {
             send: Box::new(move |to, message| {
                 let _ = tx.send((to, message));
             }),
-            apply: Box::new(|_| Some(())),
+            apply: Box::new(move |entry| {
+                let mut indices = applier.lock().expect("the lock is not poisoned");
+                indices.push(entry.index);
+                Some(())
+            }),
             install_snapshot: Box::new(|_| {}),
             take_snapshot: Box::new(|| None),
             reopen: None,
@@ -114,6 +158,7 @@
             replica: Arc::new(replica),
             sent,
             disk,
+            applied,
             _dir: dir,
         }
     }
