replica: the actions of a pass go before steps that have become due

Cause: the log thread performed steps whose sync was reported before the actions that the node had emitted earlier in the same pass.

Change: the actions of a pass are dispatched first.

Result: entries_are_applied_in_order_when_a_reply_and_a_sync_arrive_together applied 2, 3, 5, 4 before.

--- a/crates/zinnia-replica/src/thread.rs
+++ b/crates/zinnia-replica/src/thread.rs
@@ -166,8 +166,10 @@
     }
 
     /// Performs actions and those that follow from them, as far as they need not wait for the disk.
+    ///
+    /// The actions go first: a step that has become due may make the node emit entries to apply that
+    /// come after theirs.
     fn perform_all(&mut self, actions: Vec<Action>) {
-        self.perform_due();
         self.dispatch(actions);
         self.perform_due();
         let mut actions = Vec::new();
@@ -303,7 +305,9 @@
     fn compact_if_due(&mut self, actions: &mut Vec<Action>) {
         let index = *self.applied.borrow();
         let due = self.snapshot_index() + self.compact_entries <= index;
-        if due && let Some(text) = (self.hooks.take_snapshot)() {
+        // A node without a disk has an empty log.
+        let is_due = due && lock(&self.disk_error).is_none();
+        if is_due && let Some(text) = (self.hooks.take_snapshot)() {
             let data = Data::from(text);
             self.step(Event::Compact { index, data }, actions);
         }
