control, plan: a log line when the leases of a silent worker expire

Cause: the logs show each released run, but not why it was released then.

Change: the plan lists the workers whose leases have expired, with the time since their last message and the age of the term; the leader logs them as lease_expired and counts them in zinnia_expired_leases_total.

--- a/crates/zinnia-control/src/leader.rs
+++ b/crates/zinnia-control/src/leader.rs
@@ -8,6 +8,7 @@
 
 use tokio::sync::mpsc;
 use zinnia_plan::Batch;
+use zinnia_plan::ExpiredLease;
 use zinnia_plan::Leader;
 use zinnia_plan::Plan;
 use zinnia_plan::PolicyQuery;
@@ -164,6 +165,9 @@
     plan: Plan,
     starts_pending: &Arc<AtomicBool>,
 ) {
+    for lease in &plan.expired {
+        log_expired_lease(lease);
+    }
     if !plan.records.is_empty() {
         propose_in_background(context, plan.records);
     }
@@ -195,6 +199,15 @@
     }
 }
 
+fn log_expired_lease(lease: &ExpiredLease) {
+    metrics::counter!("zinnia_expired_leases_total").increment(1);
+    tracing::info!(
+        event = "lease_expired", worker = lease.worker, born = lease.born, runs = lease.runs,
+        silent_ms = lease.silent_ms, term_age_ms = lease.term_age_ms,
+        "leases of a silent worker have expired; its runs are released"
+    );
+}
+
 /// Proposes records without waiting for the result, which shows in the state.
 fn propose_in_background(context: &Arc<MemberContext>, records: Vec<Record>) {
     let context = Arc::clone(context);
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -21,7 +21,7 @@
     pub(crate) settings: Settings,
     /// First fencing token of this term; the tokens of earlier terms are lower.
     base_fence: u64,
-    term_start: Time,
+    pub(crate) term_start: Time,
     pub(crate) views: BTreeMap<String, WorkerView>,
     pub(crate) indices: WorkerIndices,
     pub(crate) decisions: Decisions,
--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -50,6 +50,7 @@
 pub use job::StepState;
 pub use job::Task;
 pub use leader::Leader;
+pub use plan::ExpiredLease;
 pub use plan::Plan;
 pub use plan::Poll;
 pub use plan::RunOrder;
--- a/crates/zinnia-plan/src/plan.rs
+++ b/crates/zinnia-plan/src/plan.rs
@@ -128,6 +128,21 @@
     pub ticket: String,
 }
 
+/// A worker whose runs are released because its leases have expired.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExpiredLease {
+    /// Name of the worker.
+    pub worker: String,
+    /// Start time of the worker's incarnation.
+    pub born: i64,
+    /// Number of released runs.
+    pub runs: usize,
+    /// Time since the worker's last message to this leader; `None` without any.
+    pub silent_ms: Option<u64>,
+    /// Time since this leader's term began.
+    pub term_age_ms: u64,
+}
+
 /// Actions that the leader requests after one planning pass.
 #[derive(Debug, Default)]
 pub struct Plan {
@@ -145,4 +160,6 @@
     pub polls: Vec<Poll>,
     /// Runs to stop.
     pub stops: Vec<RunOrder>,
+    /// Workers whose leases have expired; `records` releases their runs.
+    pub expired: Vec<ExpiredLease>,
 }
--- a/crates/zinnia-plan/src/runs.rs
+++ b/crates/zinnia-plan/src/runs.rs
@@ -2,6 +2,7 @@
 
 use zinnia_types::Time;
 
+use crate::ExpiredLease;
 use crate::Leader;
 use crate::Plan;
 use crate::Record;
@@ -15,7 +16,7 @@
 impl Leader {
     /// Releases the runs of workers whose leases have certainly expired.
     pub(crate) fn expire_leases(&mut self, state: &State, now: Time, plan: &mut Plan) {
-        for (_, view, worker) in current_workers(&mut self.views, state) {
+        for (name, view, worker) in current_workers(&mut self.views, state) {
             if worker.runs.is_empty() || view.lease_expired || !view.leases_expired(now) {
                 continue;
             }
@@ -34,6 +35,13 @@
                 .iter()
                 .map(|&(t, r)| (t, r, checkpoint((t, r)).to_owned()));
             plan.records.push(Record::Release(list.collect()));
+            plan.expired.push(ExpiredLease {
+                worker: name.to_owned(),
+                born: view.born,
+                runs: worker.runs.len(),
+                silent_ms: view.silent_ms(now),
+                term_age_ms: now.since(self.term_start),
+            });
         }
     }
 
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -177,6 +177,11 @@
         }
     }
 
+    /// Time since the worker's last message; `None` without any.
+    pub(crate) fn silent_ms(&self, now: Time) -> Option<u64> {
+        (self.last_heard > Time(0)).then(|| now.since(self.last_heard))
+    }
+
     /// Records that no poll is open any more.
     pub(crate) fn close_poll(&mut self) {
         self.open_poll = None;
