--- a/crates/zinnia-plan/tests/common/mod.rs
+++ b/crates/zinnia-plan/tests/common/mod.rs
@@ -244,6 +244,31 @@
         }
     }
 
+    /// Replaces the leader by one whose term begins now.
+    pub(crate) fn change_leader(&mut self, term: u64) {
+        self.leader = Leader::new(Settings::default(), term, Time(self.now));
+    }
+
+    /// Plans every 100 ms without any answer of a worker until runs are released. Returns the time
+    /// that this took, or `None` if it takes longer than a minute.
+    pub(crate) fn wait_for_release(&mut self) -> Option<u64> {
+        let start_ms = self.now;
+        while self.now < start_ms + 60_000 {
+            self.now += 100;
+            let plan = self.plan();
+            for poll in &plan.polls {
+                self.poll_failed(poll);
+            }
+            if !plan.records.is_empty() {
+                for record in plan.records {
+                    self.apply(record);
+                }
+                return Some(self.now - start_ms);
+            }
+        }
+        None
+    }
+
     /// Processes a poll without an answer.
     pub(crate) fn poll_failed(&mut self, poll: &Poll) {
         let records = self
--- a/crates/zinnia-plan/tests/leader.rs
+++ b/crates/zinnia-plan/tests/leader.rs
@@ -80,6 +80,47 @@
     assert!(sim.state.task(task(0)).unwrap().worker.is_none());
 }
 
+/// Guards against tasks of a lost worker that start elsewhere too late after a change of the leader.
+#[test]
+fn runs_of_lost_worker_restart_in_time_after_leader_change() {
+    /// A task that is to last runs again within this time of the loss of the leader.
+    const RESTART_MS: u64 = 10_000;
+    /// What the election of the new leader and the start of the task take of it.
+    const ELECTION_AND_START_MS: u64 = 2_000;
+    struct Case {
+        name: &'static str,
+        /// How long before the change of the leader the worker is lost.
+        lost_before_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "worker lost before the leader",
+            lost_before_ms: 6_200,
+        },
+        Case {
+            name: "worker lost together with the leader",
+            lost_before_ms: 0,
+        },
+    ];
+    for case in cases {
+        let (mut sim, _) = simulation_with_run();
+        sim.now += case.lost_before_ms;
+        sim.change_leader(2);
+        let after = sim.wait_for_release().expect("the runs are released");
+        assert!(
+            after <= RESTART_MS - ELECTION_AND_START_MS,
+            "{}: released {after} ms after the change of the leader",
+            case.name
+        );
+        let since_grant = after + case.lost_before_ms;
+        assert!(
+            since_grant > Settings::default().lease_ms,
+            "{}: released {since_grant} ms after the last lease was granted",
+            case.name
+        );
+    }
+}
+
 /// Guards against a new leader that starts tasks on a draining worker whose heartbeat it has not
 /// received.
 #[test]
