plan, control, platform: a change of the leader no longer stretches the wait for a lost worker

Cause: a new leader waits for the leases of workers that it cannot reach from the start of its own term, as long as the longest lease that workers accept (10 s, 10.25 s on a slow clock) and 1 s more, although no leader grants so much. Together with an election that exceeds the 10 s in which a task that is to last must run again. The class: a timeout that starts anew, with another length, when a process takes over.

Log entries carry the bound of the leases granted so far; a new leader waits for that bound, or for the longest lease where the entries of an earlier build tell none.

--- a/crates/zinnia-control/src/leader.rs
+++ b/crates/zinnia-control/src/leader.rs
@@ -54,8 +54,14 @@
     records: Vec<Record>,
     limit: Duration,
 ) -> Option<ProposalOutcome<Vec<Reply>>> {
+    let lease_ms = {
+        let cell = context.cell_state();
+        let leader = cell.leader.as_ref();
+        leader.map(|l| l.max_granted_ms(clock::now()))
+    };
     let batch = Batch {
         at_ms: clock::wall_ms(),
+        lease_ms,
         records,
     };
     let text = match serde_json::to_string(&batch) {
@@ -128,8 +134,10 @@
 
 /// Runs one planning pass; `None` if this process is not the leader.
 fn plan_once(context: &Arc<MemberContext>, starts_pending: &AtomicBool) -> Option<Plan> {
-    let term = context.leading_term()?;
+    // Leases count from a time at which this process certainly led, also if it is paused right after
+    // the check.
     let now = clock::now();
+    let term = context.leading_term()?;
     let mut cell = context.cell_state();
     let cell = &mut *cell;
     let own_client = cell
@@ -146,7 +154,8 @@
             workers = cell.state.workers.len(),
             "this process starts to lead"
         );
-        cell.leader = Some(Leader::new(context.settings.plan.clone(), term, now));
+        let settings = context.settings.plan.clone();
+        cell.leader = Some(Leader::new(settings, term, &cell.state, now));
         starts_pending.store(false, Ordering::Relaxed);
     }
     let leader = cell.leader.as_mut()?;
@@ -202,8 +211,12 @@
 fn log_expired_lease(lease: &ExpiredLease) {
     metrics::counter!("zinnia_expired_leases_total").increment(1);
     tracing::info!(
-        event = "lease_expired", worker = lease.worker, born = lease.born, runs = lease.runs,
-        silent_ms = lease.silent_ms, term_age_ms = lease.term_age_ms,
+        event = "lease_expired",
+        worker = lease.worker,
+        born = lease.born,
+        runs = lease.runs,
+        silent_ms = lease.silent_ms,
+        term_age_ms = lease.term_age_ms,
         "leases of a silent worker have expired; its runs are released"
     );
 }
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -11,6 +11,7 @@
 use crate::Settings;
 use crate::State;
 use crate::headroom::UrgentTeams;
+use crate::lease;
 use crate::placement::Decisions;
 use crate::worker_index::WorkerIndices;
 use crate::worker_view::WorkerView;
@@ -19,6 +20,8 @@
 #[derive(Debug)]
 pub struct Leader {
     pub(crate) settings: Settings,
+    /// Longest lease that earlier leaders may have granted.
+    inherited_lease_ms: u64,
     /// First fencing token of this term; the tokens of earlier terms are lower.
     base_fence: u64,
     pub(crate) term_start: Time,
@@ -44,9 +47,16 @@
 const FENCES_PER_TERM: u64 = 1 << 20;
 
 impl Leader {
-    /// Creates the state of a leader whose term begins at `now`.
-    pub fn new(settings: Settings, term: u64, now: Time) -> Self {
+    /// Creates the state of a leader whose term begins at `now`; `state` is what earlier leaders have
+    /// left.
+    pub fn new(settings: Settings, term: u64, state: &State, now: Time) -> Self {
+        // Only workers in the state can have a lease.
+        let inherited_lease_ms = match state.workers.is_empty() {
+            true => settings.lease_ms,
+            false => state.lease_ms.unwrap_or(settings.max_lease_ms),
+        };
         Self {
+            inherited_lease_ms,
             settings,
             base_fence: term * FENCES_PER_TERM,
             term_start: now,
@@ -61,33 +71,44 @@
     }
 
     /// When the leases that earlier leaders granted have expired on a worker that cannot be
-    /// reached.
+    /// reached. Their deadlines count from times at which those leaders had contact with a quorum,
+    /// and all of these are before this term.
     fn inherited_until(&self) -> Time {
-        /// Time in which a leader that has been replaced may still send orders.
-        const OVERLAP_MS: u64 = 1_000;
-        self.term_start.after(self.longest_lease_ms() + OVERLAP_MS)
+        let duration_ms = lease::max_duration_ms(self.inherited_lease_ms);
+        self.term_start.after(duration_ms)
+    }
+
+    /// Length of the leases that this leader grants. It exceeds the bound in the state only once its
+    /// own bound is there, so that the next leader knows of it.
+    pub(crate) fn grant_ms(&self, state: &State) -> u64 {
+        let known = state.lease_ms.unwrap_or(self.settings.max_lease_ms);
+        self.settings.lease_ms.min(known)
     }
 
-    /// Longest lease in the time of this process; the worker's clock may run slow.
-    fn longest_lease_ms(&self) -> u64 {
-        let lease = self.settings.max_lease_ms;
-        lease + lease / 40
+    /// Upper bound of the leases that workers may have at `now`, for the state.
+    pub fn max_granted_ms(&self, now: Time) -> u64 {
+        let granted = self.settings.lease_ms;
+        match now < self.inherited_until() {
+            true => granted.max(self.inherited_lease_ms),
+            false => granted,
+        }
     }
 
     pub(crate) fn view(&mut self, worker: &str, born: i64, now: Time) -> &mut WorkerView {
         let (base_fence, until) = (self.base_fence, self.inherited_until());
-        let lease = self.longest_lease_ms();
+        let inherited_lease = self.inherited_lease_ms;
+        let max_lease = self.settings.max_lease_ms;
         let index = self.indices.assign(worker);
-        let view = self
-            .views
-            .entry(worker.to_owned())
-            .or_insert_with(|| WorkerView::new(index, born, base_fence, now, until));
+        let view = self.views.entry(worker.to_owned()).or_insert_with(|| {
+            WorkerView::new(index, born, base_fence, now, inherited_lease, until)
+        });
         if view.born < born {
             // Delayed orders to the previous incarnation may reach the new one, whose clock
-            // restarted. The higher token rejects them, and a lease may last from their latest
-            // possible arrival.
-            let until = until.max(now.after(MAX_ORDER_DELAY_MS + lease));
-            *view = WorkerView::new(index, born, view.fence + 1, now, until);
+            // restarted, so that it shortens their leases to the longest that it accepts. The higher
+            // token rejects them, and such a lease may last from their latest possible arrival.
+            let duration_ms = lease::max_duration_ms(max_lease);
+            let until = until.max(now.after(MAX_ORDER_DELAY_MS + duration_ms));
+            *view = WorkerView::new(index, born, view.fence + 1, now, max_lease, until);
         }
         view
     }
--- a/crates/zinnia-plan/src/orders.rs
+++ b/crates/zinnia-plan/src/orders.rs
@@ -20,7 +20,7 @@
         let job = state.jobs.get(&start.task.job)?;
         let task = state.task(start.task)?;
         let worker = state.workers.get(&start.worker)?;
-        let lease = self.settings.lease_ms;
+        let lease = self.grant_ms(state);
         let view = self.views.get_mut(&start.worker)?;
         let ticket = self
             .decisions
--- a/crates/zinnia-plan/src/plan.rs
+++ b/crates/zinnia-plan/src/plan.rs
@@ -14,7 +14,8 @@
 pub struct Settings {
     /// Longest lease that a worker accepts.
     pub max_lease_ms: u64,
-    /// Length of the lease that start orders and polls request.
+    /// Length of the lease that start orders and polls request. It bounds the time after which the
+    /// tasks of a lost worker start elsewhere, also if the leader is lost with it.
     pub lease_ms: u64,
     /// Longest time that a worker may hold back the answer to a poll until a run ends.
     pub poll_wait_ms: u64,
@@ -41,7 +42,7 @@
     fn default() -> Self {
         Self {
             max_lease_ms: 10_000,
-            lease_ms: 9_000,
+            lease_ms: 7_000,
             poll_wait_ms: 1_500,
             max_idle_polls: 128,
             silence_ms: 2_600,
--- a/crates/zinnia-plan/src/polls.rs
+++ b/crates/zinnia-plan/src/polls.rs
@@ -13,6 +13,7 @@
 use crate::State;
 use crate::TaskId;
 use crate::Worker;
+use crate::lease;
 use crate::worker_view::OrderState;
 use crate::worker_view::Progress;
 use crate::worker_view::WorkerView;
@@ -20,7 +21,7 @@
 
 impl Leader {
     pub(crate) fn poll_workers(&mut self, state: &State, now: Time, plan: &mut Plan) {
-        let lease = self.settings.lease_ms;
+        let lease = self.grant_ms(state);
         let wait = self.settings.poll_wait_ms;
         let mut idle_polls = self.views.values().filter(|v| v.has_open_idle_poll).count();
         for (name, view, worker) in current_workers(&mut self.views, state) {
@@ -84,8 +85,8 @@
         view.last_heard = now;
         view.read_clock(report.clock_ms, now);
         if view.confirmed_fence == 0 {
-            // An earlier leader may have granted a lease up to the maximum length.
-            view.extend_deadline(report.clock_ms + self.settings.max_lease_ms);
+            let duration_ms = lease::max_duration_ms(view.inherited_lease_ms);
+            view.extend_deadline(report.clock_ms + duration_ms);
         }
         view.confirmed_fence = view.confirmed_fence.max(poll.fence);
         view.lease_expired = false;
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -57,6 +57,9 @@
 pub struct State {
     /// Highest proposer clock so far, in milliseconds since the Unix epoch.
     pub at_ms: i64,
+    /// Upper bound of the leases that workers may have; `None` if the latest leader did not tell.
+    #[serde(rename = "lease", default)]
+    pub lease_ms: Option<u64>,
     /// Text of the current document as received.
     pub raw: String,
     /// The current document.
@@ -77,6 +80,7 @@
     /// Applies a log entry and returns a reply to each record.
     pub fn apply(&mut self, batch: &Batch) -> Vec<Reply> {
         self.at_ms = self.at_ms.max(batch.at_ms);
+        self.lease_ms = batch.lease_ms;
         let replies = batch.records.iter().map(|r| self.apply_record(r)).collect();
         self.remove_expired();
         replies
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -12,11 +12,10 @@
 use crate::Step;
 use crate::TaskId;
 use crate::Worker;
+use crate::lease::CLOCK_MARGIN_MS;
+use crate::lease::MAX_CLOCK_LAG_PERCENT;
 use crate::worker_index::WorkerIndex;
 
-/// Maximum share, in percent, by which a worker's clock may run slow.
-const MAX_CLOCK_LAG_PERCENT: u64 = 2;
-
 /// A task counts as stalled when it makes no progress in its estimated run time divided by this.
 const MIN_SPEED_DIVISOR: u64 = 6;
 
@@ -118,7 +117,10 @@
     clock: Option<(u64, Time)>,
     /// Latest lease deadline, on the worker's clock, that may have been delivered to the worker.
     max_deadline: u64,
-    /// When all leases granted by earlier leaders have expired.
+    /// Longest lease that the worker may have received from an earlier leader, or from a delayed
+    /// order to its previous incarnation.
+    pub(crate) inherited_lease_ms: u64,
+    /// When all such leases have expired.
     inherited_until: Time,
     /// Whether the runs were released after the lease expired, and the worker has not answered
     /// since.
@@ -145,13 +147,14 @@
 }
 
 impl WorkerView {
-    /// Creates the view of an incarnation on which leases of earlier leaders last until
-    /// `inherited_until`.
+    /// Creates the view of an incarnation that may have a lease of up to `inherited_lease_ms`, which
+    /// no order of this leader granted and which lasts until `inherited_until` at most.
     pub(crate) fn new(
         index: WorkerIndex,
         born: i64,
         fence: u64,
         now: Time,
+        inherited_lease_ms: u64,
         inherited_until: Time,
     ) -> Self {
         Self {
@@ -161,6 +164,7 @@
             confirmed_fence: 0,
             clock: None,
             max_deadline: 0,
+            inherited_lease_ms,
             inherited_until,
             lease_expired: false,
             last_heard: Time(0),
@@ -219,13 +223,11 @@
 
     /// Whether every lease that the worker may have received has expired.
     pub(crate) fn leases_expired(&self, now: Time) -> bool {
-        /// Tolerance for the resolution of clocks.
-        const MARGIN_MS: u64 = 100;
         if now < self.inherited_until && self.confirmed_fence == 0 {
             return false;
         }
         match self.min_clock(now) {
-            Some(clock) => clock > self.max_deadline + MARGIN_MS,
+            Some(clock) => clock > self.max_deadline + CLOCK_MARGIN_MS,
             None => true,
         }
     }
--- a/crates/zinnia-plan/tests/common/mod.rs
+++ b/crates/zinnia-plan/tests/common/mod.rs
@@ -137,7 +137,7 @@
     pub(crate) fn new(document: Document) -> Self {
         let mut sim = Self {
             state: State::default(),
-            leader: Leader::new(Settings::default(), 1, Time(1_000)),
+            leader: Leader::new(Settings::default(), 1, &State::default(), Time(1_000)),
             now: 1_000,
         };
         sim.apply(Record::Document {
@@ -150,6 +150,7 @@
     pub(crate) fn apply(&mut self, record: Record) -> Vec<Reply> {
         let batch = Batch {
             at_ms: i64::try_from(self.now).unwrap(),
+            lease_ms: Some(self.leader.max_granted_ms(Time(self.now))),
             records: vec![record],
         };
         self.state.apply(&batch)
@@ -246,7 +247,7 @@
 
     /// Replaces the leader by one whose term begins now.
     pub(crate) fn change_leader(&mut self, term: u64) {
-        self.leader = Leader::new(Settings::default(), term, Time(self.now));
+        self.leader = Leader::new(Settings::default(), term, &self.state, Time(self.now));
     }
 
     /// Plans every 100 ms without any answer of a worker until runs are released. Returns the time
--- a/crates/zinnia-plan/tests/leader.rs
+++ b/crates/zinnia-plan/tests/leader.rs
@@ -12,7 +12,7 @@
 use common::job;
 use common::step;
 use common::task;
-use zinnia_plan::Leader;
+use zinnia_plan::Record;
 use zinnia_plan::Settings;
 use zinnia_plan::StartOutcome;
 use zinnia_types::Time;
@@ -39,7 +39,7 @@
 fn new_leader_keeps_runs() {
     let (mut sim, order) = simulation_with_run();
     sim.now += 500;
-    sim.leader = Leader::new(Settings::default(), 2, Time(sim.now));
+    sim.change_leader(2);
     let poll = sim.plan().polls.remove(0);
     sim.now += 10;
     sim.report(&poll, &[run_key(&order)], Vec::new());
@@ -121,6 +121,57 @@
     }
 }
 
+/// Guards against a new leader that starts tasks elsewhere while longer leases of earlier leaders last.
+#[test]
+fn longer_leases_of_earlier_leaders_are_awaited() {
+    struct Case {
+        name: &'static str,
+        /// What the earlier leaders stored about their leases.
+        stored_ms: Option<u64>,
+        /// Number of changes of the leader, 1 s apart.
+        changes: u64,
+        /// Time after the last grant before which nothing may be released.
+        lease_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "longer lease",
+            stored_ms: Some(9_500),
+            changes: 1,
+            lease_ms: 9_500,
+        },
+        Case {
+            name: "earlier build",
+            stored_ms: None,
+            changes: 1,
+            lease_ms: 10_000,
+        },
+        Case {
+            name: "two changes of the leader",
+            stored_ms: Some(9_500),
+            changes: 2,
+            lease_ms: 9_500,
+        },
+    ];
+    for case in cases {
+        let (mut sim, _) = simulation_with_run();
+        sim.state.lease_ms = case.stored_ms;
+        for change in 0..case.changes {
+            sim.now += 1_000 * change;
+            sim.change_leader(2 + change);
+            // An entry of the new leader replaces the stored length.
+            sim.apply(Record::Release(Vec::new()));
+        }
+        let since_grant = sim.wait_for_release().expect("the runs are released");
+        let since_grant = since_grant + 1_000 * (case.changes - 1);
+        assert!(
+            since_grant > case.lease_ms,
+            "{}: released after {since_grant} ms",
+            case.name
+        );
+    }
+}
+
 /// Guards against a new leader that starts tasks on a draining worker whose heartbeat it has not
 /// received.
 #[test]
@@ -129,7 +180,7 @@
     let w = incarnation("w", 4_000);
     sim.add_worker(&w);
     sim.heartbeat(&w, 2, true);
-    sim.leader = Leader::new(Settings::default(), 2, Time(sim.now));
+    sim.change_leader(2);
     let poll = sim.plan().polls.remove(0);
     sim.report(&poll, &[], Vec::new());
     sim.submit(job(vec![step(1, 1_000)]));
