control, plan: leases count from a time at which the process leads

Cause, found by a review: the check for leadership reads role and contact one after the other, so that a process that becomes a follower in between takes the contact of the new leader for its own; a clock reading that arrives while a pass waits for the state moves the start of a lease past the check; and the start of a term could be read before the process led.

Result: deadline_counts_from_the_start_of_the_pass fails without the change (500 ms late) and passes; the other two follow from the code and were not seen.

--- a/crates/zinnia-control/src/context.rs
+++ b/crates/zinnia-control/src/context.rs
@@ -106,8 +106,11 @@
     /// leader lease another leader may already be active.
     pub(crate) fn leading_term(&self) -> Option<u64> {
         let term = self.term()?;
-        let contact = |n: &Node| n.has_quorum_contact(clock::now());
-        self.read(contact)?.then_some(term)
+        // One view of the node: a follower has contact with a quorum through another leader.
+        let leads = |n: &Node| {
+            n.role() == Role::Leader && n.term() == term && n.has_quorum_contact(clock::now())
+        };
+        self.read(leads)?.then_some(term)
     }
 
     /// Returns the term in which this process is the leader, once everything committed before is
--- a/crates/zinnia-control/src/leader.rs
+++ b/crates/zinnia-control/src/leader.rs
@@ -156,7 +156,9 @@
             "this process starts to lead"
         );
         let settings = context.settings.plan.clone();
-        cell.leader = Some(Leader::new(settings, term, &cell.state, now));
+        // `now` may be before the term, and leases of earlier leaders count from its start.
+        let term_start = clock::now();
+        cell.leader = Some(Leader::new(settings, term, &cell.state, term_start));
         starts_pending.store(false, Ordering::Relaxed);
     }
     let leader = cell.leader.as_mut()?;
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -211,7 +211,8 @@
     /// `None` if the clock is unknown.
     pub(crate) fn deadline(&mut self, lease_ms: u64, now: Time) -> Option<u64> {
         let (clock, at) = self.clock?;
-        let deadline = clock + now.since(at) + lease_ms;
+        // A reading may be newer than `now`; the lease still counts from `now`.
+        let deadline = (clock + now.since(at)).saturating_sub(at.since(now)) + lease_ms;
         self.max_deadline = self.max_deadline.max(deadline);
         Some(deadline)
     }
--- a/crates/zinnia-plan/tests/leader.rs
+++ b/crates/zinnia-plan/tests/leader.rs
@@ -173,6 +173,19 @@
     }
 }
 
+/// Guards against a lease that counts from a clock reading newer than the start of the pass.
+#[test]
+fn deadline_counts_from_the_start_of_the_pass() {
+    let (mut sim, _) = simulation_with_run();
+    let pass_start = sim.now;
+    sim.now += 500;
+    sim.heartbeat(&incarnation("w", 4_000), 3, false);
+    sim.now = pass_start;
+    let poll = sim.plan().polls.remove(0);
+    let expected_ms = pass_start + WORKER_CLOCK_LEAD_MS + Settings::default().lease_ms;
+    assert_eq!(poll.deadline_ms, Some(expected_ms));
+}
+
 /// Guards against an entry before the first pass of a term that erases the bound of earlier leases.
 #[test]
 fn entry_before_first_pass_keeps_lease_bound() {
