plan: a start committed after the lease of its worker expired is released too

Cause, found by a review: a worker whose leases expired is skipped until it answers. A start that was planned before and committed after that (a disk that stalled for the length of a lease) is assigned to the lost worker and stays there until the worker returns or the leader changes.

Change: preparing a start makes the lease of its worker expire anew.

Result: start_committed_after_expired_lease_is_released fails without the change (the second run is never released) and passes.

--- a/crates/zinnia-plan/src/orders.rs
+++ b/crates/zinnia-plan/src/orders.rs
@@ -32,6 +32,8 @@
             return None;
         }
         let deadline_ms = view.deadline(lease, now)?;
+        // The release of earlier runs does not include this one.
+        view.lease_expired = false;
         let order = SentOrder {
             fence: view.fence,
             state: OrderState::Open,
--- a/crates/zinnia-plan/tests/leader.rs
+++ b/crates/zinnia-plan/tests/leader.rs
@@ -186,6 +186,20 @@
     assert_eq!(poll.deadline_ms, Some(expected_ms));
 }
 
+/// Guards against a run that stays assigned to a lost worker whose earlier leases expired before the
+/// start was committed.
+#[test]
+fn start_committed_after_expired_lease_is_released() {
+    let (mut sim, _) = simulation_with_run();
+    sim.submit_to("quick", 2, job(vec![step(1, 1_000)]));
+    let starts = sim.plan().starts;
+    sim.wait_for_release().expect("the first run is released");
+    let order = sim.start(starts).pop().expect("the start is committed");
+    sim.start_answered(&order, &StartOutcome::Unknown);
+    sim.wait_for_release().expect("the second run is released");
+    assert!(sim.state.task(order.common.task).unwrap().worker.is_none());
+}
+
 /// Guards against an entry before the first pass of a term that erases the bound of earlier leases.
 #[test]
 fn entry_before_first_pass_keeps_lease_bound() {
