plan: a new leader knows of delayed orders to new incarnations

Cause, found by a review: a delayed order to an earlier incarnation of a worker gets the longest lease that the new one accepts, since its clock restarted. Only the leader that saw the replacement waited for that; a new leader would wait for the shorter lease that leaders grant, and the task could run twice.

Change: the state records when an incarnation replaced another one.

--- a/crates/zinnia-plan/src/heartbeat.rs
+++ b/crates/zinnia-plan/src/heartbeat.rs
@@ -77,7 +77,7 @@
         }) {
             return Vec::new();
         }
-        let view = self.view(&incarnation.worker, incarnation.born, now);
+        let view = self.view(state, &incarnation.worker, incarnation.born, now);
         if view.born != incarnation.born || view.sequence > heartbeat.sequence {
             return Vec::new();
         }
@@ -106,7 +106,7 @@
         if known.is_none_or(|w| w.left || w.incarnation.born != relayed.born) {
             return;
         }
-        let view = self.view(&relayed.worker, relayed.born, now);
+        let view = self.view(state, &relayed.worker, relayed.born, now);
         if view.born != relayed.born || view.sequence > relayed.sequence {
             return;
         }
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -89,21 +89,34 @@
         }
     }
 
-    pub(crate) fn view(&mut self, worker: &str, born: i64, now: Time) -> &mut WorkerView {
-        let (base_fence, until) = (self.base_fence, self.inherited_until());
-        let inherited_lease = self.inherited_lease_ms;
-        let max_lease = self.settings.max_lease_ms;
+    pub(crate) fn view(
+        &mut self,
+        state: &State,
+        worker: &str,
+        born: i64,
+        now: Time,
+    ) -> &mut WorkerView {
+        let base_fence = self.base_fence;
         let index = self.indices.assign(worker);
-        let view = self.views.entry(worker.to_owned()).or_insert_with(|| {
-            WorkerView::new(index, born, base_fence, now, inherited_lease, until)
-        });
+        let max_lease_ms = self.settings.max_lease_ms;
+        let delayed_ms = MAX_ORDER_DELAY_MS + lease::max_duration_ms(max_lease_ms);
+        let replaced = state.was_replaced_within(worker, delayed_ms);
+        // Delayed orders to the previous incarnation may reach the current one, whose clock restarted,
+        // so that it shortens their leases to the longest that it accepts.
+        let inherited_ms = match replaced {
+            true => max_lease_ms,
+            false => self.inherited_lease_ms,
+        };
+        let until = self.term_start.after(lease::max_duration_ms(inherited_ms));
+        let view = self
+            .views
+            .entry(worker.to_owned())
+            .or_insert_with(|| WorkerView::new(index, born, base_fence, now, inherited_ms, until));
         if view.born < born {
-            // Delayed orders to the previous incarnation may reach the new one, whose clock
-            // restarted, so that it shortens their leases to the longest that it accepts. The higher
-            // token rejects them, and such a lease may last from their latest possible arrival.
-            let duration_ms = lease::max_duration_ms(max_lease);
-            let until = until.max(now.after(MAX_ORDER_DELAY_MS + duration_ms));
-            *view = WorkerView::new(index, born, view.fence + 1, now, max_lease, until);
+            // The higher token rejects delayed orders, and their leases may last from their latest
+            // possible arrival.
+            let until = until.max(now.after(delayed_ms));
+            *view = WorkerView::new(index, born, view.fence + 1, now, max_lease_ms, until);
         }
         view
     }
@@ -178,7 +191,7 @@
             }
             let born = worker.incarnation.born;
             if self.views.get(name).is_none_or(|c| c.born < born) {
-                self.view(name, born, now);
+                self.view(state, name, born, now);
             }
         }
     }
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -37,6 +37,10 @@
     /// Number of the last run end that was stored.
     #[serde(rename = "noted")]
     pub acked_end: u64,
+    /// When the incarnation replaced an earlier one of the same worker, in milliseconds since the Unix
+    /// epoch; `None` if it did not.
+    #[serde(rename = "replaced", default)]
+    pub replaced_ms: Option<i64>,
     /// Whether the incarnation is about to shut down and gets no new tasks.
     pub draining: bool,
     /// Whether the incarnation has ended.
@@ -97,6 +101,14 @@
         }
     }
 
+    /// Whether delayed orders to an earlier incarnation of the worker may have reached the current one
+    /// within the last `ms` milliseconds.
+    pub(crate) fn was_replaced_within(&self, worker: &str, ms: u64) -> bool {
+        let replaced_ms = self.workers.get(worker).and_then(|w| w.replaced_ms);
+        let limit_ms = i64::try_from(ms).unwrap_or(i64::MAX);
+        replaced_ms.is_some_and(|at| self.at_ms.saturating_sub(at) < limit_ms)
+    }
+
     fn apply_record(&mut self, record: &Record) -> Reply {
         match record {
             Record::Document { raw, document } => {
@@ -223,9 +235,12 @@
         }
         // Orders to the previous incarnation may have reached this one. Its runs stay assigned
         // until the worker has reported which of them are active.
-        let previous = self.workers.remove(&incarnation.worker).unwrap_or_default();
+        let previous = self.workers.remove(&incarnation.worker);
+        let replaced_ms = previous.as_ref().map(|_| self.at_ms);
+        let previous = previous.unwrap_or_default();
         let worker = Worker {
             incarnation: incarnation.clone(),
+            replaced_ms,
             runs: previous.runs,
             used: previous.used,
             best_effort: previous.best_effort,
--- a/crates/zinnia-plan/tests/leader.rs
+++ b/crates/zinnia-plan/tests/leader.rs
@@ -12,6 +12,7 @@
 use common::job;
 use common::step;
 use common::task;
+use zinnia_plan::Incarnation;
 use zinnia_plan::Record;
 use zinnia_plan::Settings;
 use zinnia_plan::StartOutcome;
@@ -200,6 +201,51 @@
     assert!(sim.state.task(order.common.task).unwrap().worker.is_none());
 }
 
+/// Guards against a new leader that forgets that delayed orders may have reached a new incarnation.
+#[test]
+fn new_leader_awaits_delayed_orders_to_new_incarnation() {
+    struct Case {
+        name: &'static str,
+        /// Time between the new incarnation and the change of the leader.
+        replaced_before_ms: u64,
+        min_wait_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "new incarnation",
+            replaced_before_ms: 500,
+            min_wait_ms: 10_000,
+        },
+        Case {
+            name: "orders to the earlier incarnation cannot arrive any more",
+            replaced_before_ms: 25_000,
+            min_wait_ms: 7_000,
+        },
+    ];
+    for case in cases {
+        let (mut sim, _) = simulation_with_run();
+        let reborn = Incarnation {
+            born: 2,
+            ..incarnation("w", 4_000)
+        };
+        sim.heartbeat(&reborn, 1, false);
+        sim.now += case.replaced_before_ms;
+        sim.apply(Record::Release(Vec::new()));
+        sim.change_leader(2);
+        let after = sim.wait_for_release().expect("the runs are released");
+        assert!(
+            after > case.min_wait_ms * 100 / 98,
+            "{}: released after {after} ms",
+            case.name
+        );
+        assert!(
+            after < case.min_wait_ms * 11 / 10,
+            "{}: released after {after} ms",
+            case.name
+        );
+    }
+}
+
 /// Guards against an entry before the first pass of a term that erases the bound of earlier leases.
 #[test]
 fn entry_before_first_pass_keeps_lease_bound() {
