--- a/crates/zinnia-control/src/leader.rs
+++ b/crates/zinnia-control/src/leader.rs
@@ -8,6 +8,7 @@
 
 use tokio::sync::mpsc;
 use zinnia_plan::Batch;
+use zinnia_plan::ExpiredLease;
 use zinnia_plan::Leader;
 use zinnia_plan::Plan;
 use zinnia_plan::PolicyQuery;
@@ -20,6 +21,7 @@
 use zinnia_plan::StepId;
 use zinnia_plan::WaitReason;
 use zinnia_plan::WaitingSteps;
+use zinnia_plan::lease_bound_ms;
 use zinnia_replica::ProposalOutcome;
 use zinnia_replica::clock;
 
@@ -53,8 +55,14 @@
     records: Vec<Record>,
     limit: Duration,
 ) -> Option<ProposalOutcome<Vec<Reply>>> {
+    let lease_bound = {
+        let cell = context.cell_state();
+        let leader = cell.leader.as_ref();
+        lease_bound_ms(&cell.state, leader, &context.settings.plan, clock::now())
+    };
     let batch = Batch {
         at_ms: clock::wall_ms(),
+        lease_bound: Some(lease_bound),
         records,
     };
     let text = match serde_json::to_string(&batch) {
@@ -127,8 +135,10 @@
 
 /// Runs one planning pass; `None` if this process is not the leader.
 fn plan_once(context: &Arc<MemberContext>, starts_pending: &AtomicBool) -> Option<Plan> {
-    let term = context.leading_term()?;
+    // Leases count from a time at which this process certainly led, also if it is paused right after
+    // the check.
     let now = clock::now();
+    let term = context.leading_term()?;
     let mut cell = context.cell_state();
     let cell = &mut *cell;
     let own_client = cell
@@ -145,7 +155,10 @@
             workers = cell.state.workers.len(),
             "this process starts to lead"
         );
-        cell.leader = Some(Leader::new(context.settings.plan.clone(), term, now));
+        let settings = context.settings.plan.clone();
+        // `now` may be before the term, and leases of earlier leaders count from its start.
+        let term_start = clock::now();
+        cell.leader = Some(Leader::new(settings, term, &cell.state, term_start));
         starts_pending.store(false, Ordering::Relaxed);
     }
     let leader = cell.leader.as_mut()?;
@@ -164,6 +177,9 @@
     plan: Plan,
     starts_pending: &Arc<AtomicBool>,
 ) {
+    for lease in &plan.expired {
+        log_expired_lease(lease);
+    }
     if !plan.records.is_empty() {
         propose_in_background(context, plan.records);
     }
@@ -195,6 +211,19 @@
     }
 }
 
+fn log_expired_lease(lease: &ExpiredLease) {
+    metrics::counter!("zinnia_expired_leases_total").increment(1);
+    tracing::info!(
+        event = "lease_expired",
+        worker = lease.worker,
+        born = lease.born,
+        runs = lease.runs,
+        silent_ms = lease.silent_ms,
+        term_age_ms = lease.term_age_ms,
+        "leases of a silent worker have expired; its runs are released"
+    );
+}
+
 /// Proposes records without waiting for the result, which shows in the state.
 fn propose_in_background(context: &Arc<MemberContext>, records: Vec<Record>) {
     let context = Arc::clone(context);
--- a/crates/zinnia-plan/src/plan.rs
+++ b/crates/zinnia-plan/src/plan.rs
@@ -14,7 +14,8 @@
 pub struct Settings {
     /// Longest lease that a worker accepts.
     pub max_lease_ms: u64,
-    /// Length of the lease that start orders and polls request.
+    /// Length of the lease that start orders and polls request. It bounds the time after which the
+    /// tasks of a lost worker start elsewhere, also if the leader is lost with it.
     pub lease_ms: u64,
     /// Longest time that a worker may hold back the answer to a poll until a run ends.
     pub poll_wait_ms: u64,
@@ -41,7 +42,7 @@
     fn default() -> Self {
         Self {
             max_lease_ms: 10_000,
-            lease_ms: 9_000,
+            lease_ms: 7_000,
             poll_wait_ms: 1_500,
             max_idle_polls: 128,
             silence_ms: 2_600,
@@ -128,6 +129,21 @@
     pub ticket: String,
 }
 
+/// A worker whose runs are released because its leases have expired.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExpiredLease {
+    /// Name of the worker.
+    pub worker: String,
+    /// Start time of the worker's incarnation.
+    pub born: i64,
+    /// Number of released runs.
+    pub runs: usize,
+    /// Time since the worker's last message to this leader; `None` without any.
+    pub silent_ms: Option<u64>,
+    /// Time since this leader's term began.
+    pub term_age_ms: u64,
+}
+
 /// Actions that the leader requests after one planning pass.
 #[derive(Debug, Default)]
 pub struct Plan {
@@ -145,4 +161,6 @@
     pub polls: Vec<Poll>,
     /// Runs to stop.
     pub stops: Vec<RunOrder>,
+    /// Workers whose leases have expired; `records` releases their runs.
+    pub expired: Vec<ExpiredLease>,
 }
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -17,6 +17,7 @@
 use crate::Record;
 use crate::Reply;
 use crate::Resources;
+use crate::Settings;
 use crate::Start;
 use crate::Status;
 use crate::Step;
@@ -36,6 +37,10 @@
     /// Number of the last run end that was stored.
     #[serde(rename = "noted")]
     pub acked_end: u64,
+    /// When the incarnation replaced an earlier one of the same worker, in milliseconds since the Unix
+    /// epoch; `None` if it did not.
+    #[serde(rename = "replaced", default)]
+    pub replaced_ms: Option<i64>,
     /// Whether the incarnation is about to shut down and gets no new tasks.
     pub draining: bool,
     /// Whether the incarnation has ended.
@@ -57,6 +62,10 @@
 pub struct State {
     /// Highest proposer clock so far, in milliseconds since the Unix epoch.
     pub at_ms: i64,
+    /// Upper bound, in milliseconds, of the leases that workers may have; `None` if the latest entry
+    /// does not contain it.
+    #[serde(rename = "lease", default)]
+    pub lease_bound: Option<u64>,
     /// Text of the current document as received.
     pub raw: String,
     /// The current document.
@@ -77,11 +86,29 @@
     /// Applies a log entry and returns a reply to each record.
     pub fn apply(&mut self, batch: &Batch) -> Vec<Reply> {
         self.at_ms = self.at_ms.max(batch.at_ms);
+        self.lease_bound = batch.lease_bound;
         let replies = batch.records.iter().map(|r| self.apply_record(r)).collect();
         self.remove_expired();
         replies
     }
 
+    /// Upper bound, in milliseconds, of the leases that earlier leaders may have granted.
+    pub fn inherited_lease_ms(&self, settings: &Settings) -> u64 {
+        // Only workers in the state can have a lease.
+        match self.workers.is_empty() {
+            true => settings.lease_ms,
+            false => self.lease_bound.unwrap_or(settings.max_lease_ms),
+        }
+    }
+
+    /// Whether delayed orders to an earlier incarnation of the worker may have reached the current one
+    /// within the last `ms` milliseconds.
+    pub(crate) fn was_replaced_within(&self, worker: &str, ms: u64) -> bool {
+        let replaced_ms = self.workers.get(worker).and_then(|w| w.replaced_ms);
+        let limit_ms = i64::try_from(ms).unwrap_or(i64::MAX);
+        replaced_ms.is_some_and(|at| self.at_ms.saturating_sub(at) < limit_ms)
+    }
+
     fn apply_record(&mut self, record: &Record) -> Reply {
         match record {
             Record::Document { raw, document } => {
@@ -208,9 +235,12 @@
         }
         // Orders to the previous incarnation may have reached this one. Its runs stay assigned
         // until the worker has reported which of them are active.
-        let previous = self.workers.remove(&incarnation.worker).unwrap_or_default();
+        let previous = self.workers.remove(&incarnation.worker);
+        let replaced_ms = previous.as_ref().map(|_| self.at_ms);
+        let previous = previous.unwrap_or_default();
         let worker = Worker {
             incarnation: incarnation.clone(),
+            replaced_ms,
             runs: previous.runs,
             used: previous.used,
             best_effort: previous.best_effort,
--- a/crates/zinnia-plan/tests/common/mod.rs
+++ b/crates/zinnia-plan/tests/common/mod.rs
@@ -137,7 +137,7 @@
     pub(crate) fn new(document: Document) -> Self {
         let mut sim = Self {
             state: State::default(),
-            leader: Leader::new(Settings::default(), 1, Time(1_000)),
+            leader: Leader::new(Settings::default(), 1, &State::default(), Time(1_000)),
             now: 1_000,
         };
         sim.apply(Record::Document {
@@ -150,6 +150,7 @@
     pub(crate) fn apply(&mut self, record: Record) -> Vec<Reply> {
         let batch = Batch {
             at_ms: i64::try_from(self.now).unwrap(),
+            lease_bound: Some(self.leader.lease_bound_ms(Time(self.now))),
             records: vec![record],
         };
         self.state.apply(&batch)
@@ -244,6 +245,31 @@
         }
     }
 
+    /// Replaces the leader by one whose term begins now.
+    pub(crate) fn change_leader(&mut self, term: u64) {
+        self.leader = Leader::new(Settings::default(), term, &self.state, Time(self.now));
+    }
+
+    /// Plans every 100 ms without any answer of a worker until runs are released. Returns the time
+    /// that this took, or `None` if it takes longer than a minute.
+    pub(crate) fn wait_for_release(&mut self) -> Option<u64> {
+        let start_ms = self.now;
+        while self.now < start_ms + 60_000 {
+            self.now += 100;
+            let plan = self.plan();
+            for poll in &plan.polls {
+                self.poll_failed(poll);
+            }
+            if !plan.records.is_empty() {
+                for record in plan.records {
+                    self.apply(record);
+                }
+                return Some(self.now - start_ms);
+            }
+        }
+        None
+    }
+
     /// Processes a poll without an answer.
     pub(crate) fn poll_failed(&mut self, poll: &Poll) {
         let records = self
