plan: an odd clock reading in a heartbeat releases no run

Cause: the leader took every reading above its estimate of a worker's clock. One heartbeat of another writer with a clock of 2^41 made the worker's lease look expired, so that its runs were released and started elsewhere while they went on, and all later deadlines were far in the future. As the first reading it put the deadlines that a lost worker may have received out of reach.

Change: readings in heartbeats count only if they fit those in the worker's own answers to polls and orders, and none counts before the first such answer. The first poll after a change of the leader therefore renews no lease; the next one follows at once.

Measured: before, odd_clock_in_a_heartbeat_releases_no_run and odd_relayed_clock_releases_no_run saw the release within 200 ms, and lost_worker_is_released_after_an_odd_first_clock an overflow of the deadline, which ends a debug build and wraps in a release build. All three pass now, and so do the other tests of the crate. odd_entries_are_applied_alike, large_capacities_hide_no_other_worker and late_heartbeats_keep_no_worker_in_use pass before and after.

--- a/crates/zinnia-plan/src/heartbeat.rs
+++ b/crates/zinnia-plan/src/heartbeat.rs
@@ -83,7 +83,7 @@
         }
         view.sequence = heartbeat.sequence;
         view.last_heard = now;
-        view.read_clock(heartbeat.clock_ms, now);
+        view.read_heartbeat_clock(heartbeat.clock_ms, now);
         let mut records = Vec::new();
         let known = known.filter(|w| w.incarnation.born == incarnation.born);
         if known.is_none() {
@@ -114,6 +114,6 @@
         let heard_at = Time(now.0.saturating_sub(relayed.age_ms));
         view.last_heard = view.last_heard.max(heard_at);
         // The reading is older than `now`, so it is a lower bound of the worker's clock.
-        view.read_clock(relayed.clock_ms, now);
+        view.read_heartbeat_clock(relayed.clock_ms, now);
     }
 }
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -16,6 +16,9 @@
 use crate::lease::MAX_CLOCK_LAG_PERCENT;
 use crate::worker_index::WorkerIndex;
 
+/// Longest time that the reading of a clock in an answer of a worker takes to arrive.
+const MAX_ANSWER_DELAY_MS: u64 = 3_000;
+
 /// A task counts as stalled when it makes no progress in its estimated run time divided by this.
 const MIN_SPEED_DIVISOR: u64 = 6;
 
@@ -200,6 +203,20 @@
         }
     }
 
+    /// Records the reading of the worker's clock in a heartbeat that arrived at `now`.
+    ///
+    /// A heartbeat may come from another writer. Its reading counts only if it fits those in the worker's own
+    /// answers, since one too large would make the worker's lease look expired while its runs go on.
+    pub(crate) fn read_heartbeat_clock(&mut self, clock_ms: u64, now: Time) {
+        let Some((clock, at)) = self.clock else {
+            return;
+        };
+        let latest = clock.saturating_add(now.since(at));
+        if clock_ms <= latest.saturating_add(MAX_ANSWER_DELAY_MS) {
+            self.read_clock(clock_ms, now);
+        }
+    }
+
     /// Lower bound of the worker's clock at `now`.
     fn min_clock(&self, now: Time) -> Option<u64> {
         let (clock, at) = self.clock?;
