plan: sums with clock readings of workers saturate

Cause: the lower bound of a worker's clock, deadlines and the bound on leases were plain sums. A reading near u64::MAX in a worker's answer ended a debug build; in a release build the deadline wrapped to a few seconds.

Change: saturating sums. The decoder refuses such readings already; a member of an earlier build may still pass them on.

Measured: before, odd_values_in_an_answer_end_no_leader ended with "attempt to add with overflow" at the first answer; it passes now.

--- a/crates/zinnia-plan/src/polls.rs
+++ b/crates/zinnia-plan/src/polls.rs
@@ -86,7 +86,7 @@
         view.read_clock(report.clock_ms, now);
         if view.confirmed_fence == 0 {
             let duration_ms = lease::max_duration_ms(view.inherited_lease_ms);
-            view.extend_deadline(report.clock_ms + duration_ms);
+            view.extend_deadline(report.clock_ms.saturating_add(duration_ms));
         }
         view.confirmed_fence = view.confirmed_fence.max(poll.fence);
         view.lease_expired = false;
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -221,14 +221,16 @@
     fn min_clock(&self, now: Time) -> Option<u64> {
         let (clock, at) = self.clock?;
         let passed = now.since(at);
-        Some(clock + passed - passed * MAX_CLOCK_LAG_PERCENT / 100)
+        let lag = passed.saturating_mul(MAX_CLOCK_LAG_PERCENT) / 100;
+        Some(clock.saturating_add(passed - lag))
     }
 
     /// Returns the deadline, on the worker's clock, of a lease that lasts for `lease_ms` from now.
     /// `None` if the clock is unknown.
     pub(crate) fn deadline(&mut self, lease_ms: u64, now: Time) -> Option<u64> {
         let (clock, at) = self.clock?;
-        let deadline = clock + now.since(at) + lease_ms;
+        let passed = now.since(at);
+        let deadline = clock.saturating_add(passed).saturating_add(lease_ms);
         self.max_deadline = self.max_deadline.max(deadline);
         Some(deadline)
     }
@@ -244,7 +246,7 @@
             return false;
         }
         match self.min_clock(now) {
-            Some(clock) => clock > self.max_deadline + CLOCK_MARGIN_MS,
+            Some(clock) => clock > self.max_deadline.saturating_add(CLOCK_MARGIN_MS),
             None => true,
         }
     }
--- a/crates/zinnia-plan/tests/odd_values.rs
+++ b/crates/zinnia-plan/tests/odd_values.rs
@@ -14,6 +14,7 @@
 use zinnia_plan::Heartbeat;
 use zinnia_plan::Incarnation;
 use zinnia_plan::Record;
+use zinnia_plan::Report;
 use zinnia_plan::Resources;
 use zinnia_plan::StartOutcome;
 use zinnia_plan::State;
@@ -122,6 +123,34 @@
     }
 }
 
+/// Guards against a leader that ends by an overflow when a worker itself reports odd values.
+#[test]
+fn odd_values_in_an_answer_end_no_leader() {
+    for clock_ms in LARGE_CLOCKS.into_iter().chain([0]) {
+        let mut sim = Simulation::new(document(None));
+        sim.heartbeat(&incarnation("w", 4_000), 1, false);
+        sim.heartbeat(&incarnation("v", 4_000), 1, false);
+        for poll in sim.plan().polls {
+            let sound = sim.running_report(&poll, &[], 0);
+            let odd = Report {
+                clock_ms,
+                ..sim.running_report(&poll, &[(task(7), u32::MAX)], u64::MAX)
+            };
+            let report = if poll.worker == "w" { odd } else { sound };
+            sim.report_arrived(&poll, &report);
+        }
+        sim.submit(job(vec![step(1, 1_000)]));
+        for _ in 0..100 {
+            let plan = sim.plan_after(200);
+            for order in sim.start(plan.starts) {
+                sim.start_answered(&order, &StartOutcome::Accepted { clock_ms });
+            }
+        }
+        let worker = sim.state.workers.get("v").expect("the other worker stays");
+        assert!(!worker.left, "clock {clock_ms}");
+    }
+}
+
 /// Guards against late heartbeats that keep a silent worker in use.
 #[test]
 fn late_heartbeats_keep_no_worker_in_use() {
