plan: a large sequence number no longer silences a worker

Cause: heartbeats with a number below the highest one so far were ignored for the rest of the incarnation. After one with u64::MAX an idle worker counted as silent 2.6 s later and got no task any more.

Change: a lower number is accepted when the latest accepted heartbeat is more than 12 s old, the longest delay. Late heartbeats within that time are ignored as before.

Measured: before, large_sequence_silences_no_worker saw no start after 19 s of sound heartbeats, direct or relayed; it passes now. late_heartbeats_keep_no_worker_in_use passes before and after.

--- a/crates/zinnia-plan/src/heartbeat.rs
+++ b/crates/zinnia-plan/src/heartbeat.rs
@@ -78,10 +78,9 @@
             return Vec::new();
         }
         let view = self.view(&incarnation.worker, incarnation.born, now);
-        if view.born != incarnation.born || view.sequence > heartbeat.sequence {
+        if view.born != incarnation.born || !view.accept_sequence(heartbeat.sequence, now) {
             return Vec::new();
         }
-        view.sequence = heartbeat.sequence;
         view.last_heard = now;
         view.read_heartbeat_clock(heartbeat.clock_ms, now);
         let mut records = Vec::new();
@@ -107,10 +106,9 @@
             return;
         }
         let view = self.view(&relayed.worker, relayed.born, now);
-        if view.born != relayed.born || view.sequence > relayed.sequence {
+        if view.born != relayed.born || !view.accept_sequence(relayed.sequence, now) {
             return;
         }
-        view.sequence = relayed.sequence;
         let heard_at = Time(now.0.saturating_sub(relayed.age_ms));
         view.last_heard = view.last_heard.max(heard_at);
         // The reading is older than `now`, so it is a lower bound of the worker's clock.
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -19,6 +19,9 @@
 /// Longest time that the reading of a clock in an answer of a worker takes to arrive.
 const MAX_ANSWER_DELAY_MS: u64 = 3_000;
 
+/// Longest time by which a heartbeat may be delayed.
+const MAX_HEARTBEAT_DELAY_MS: u64 = 12_000;
+
 /// A task counts as stalled when it makes no progress in its estimated run time divided by this.
 const MIN_SPEED_DIVISOR: u64 = 6;
 
@@ -130,7 +133,8 @@
     pub(crate) lease_expired: bool,
     /// Time of the latest answer or heartbeat.
     pub(crate) last_heard: Time,
-    pub(crate) sequence: u64,
+    /// Sequence number of the latest heartbeat, and when it arrived.
+    sequence: (u64, Time),
     /// When the open poll was sent; `None` without an open poll.
     pub(crate) open_poll: Option<Time>,
     /// Whether the open poll was sent to a worker without runs.
@@ -171,7 +175,7 @@
             inherited_until,
             lease_expired: false,
             last_heard: Time(0),
-            sequence: 0,
+            sequence: (0, Time(0)),
             open_poll: None,
             has_open_idle_poll: false,
             next_poll: now,
@@ -189,6 +193,19 @@
         (self.last_heard > Time(0)).then(|| now.since(self.last_heard))
     }
 
+    /// Whether a heartbeat with this sequence number is not older than the latest one; records it if so.
+    ///
+    /// A lower number is accepted after the longest delay. Otherwise one heartbeat with a number far too
+    /// large would silence the worker for good.
+    pub(crate) fn accept_sequence(&mut self, sequence: u64, now: Time) -> bool {
+        let (latest, at) = self.sequence;
+        let accepted = sequence >= latest || now.since(at) > MAX_HEARTBEAT_DELAY_MS;
+        if accepted {
+            self.sequence = (sequence, now);
+        }
+        accepted
+    }
+
     /// Records that no poll is open any more.
     pub(crate) fn close_poll(&mut self) {
         self.open_poll = None;
--- a/crates/zinnia-plan/tests/odd_values.rs
+++ b/crates/zinnia-plan/tests/odd_values.rs
@@ -151,6 +151,33 @@
     }
 }
 
+/// Guards against a worker that gets no tasks any more after one heartbeat with a sequence number that is
+/// too large, since all its later ones count as late.
+#[test]
+fn large_sequence_silences_no_worker() {
+    for relay in [false, true] {
+        let mut sim = Simulation::new(document(None));
+        sim.add_worker(&incarnation("w", 4_000));
+        sim.heartbeat(&incarnation("w", 4_000), u64::MAX, false);
+        for sequence in 2..40 {
+            sim.now += 500;
+            let beat = Heartbeat {
+                incarnation: incarnation("w", 4_000),
+                sequence,
+                clock_ms: sim.now + WORKER_CLOCK_LEAD_MS,
+                ..Heartbeat::default()
+            };
+            let now = Time(sim.now);
+            match relay {
+                true => (sim.leader).relayed_heartbeat(&sim.state, &beat.relayed(0), now),
+                false => drop(sim.leader.heartbeat(&sim.state, &beat, now)),
+            }
+        }
+        sim.submit(job(vec![step(1, 1_000)]));
+        assert_eq!(sim.start_tasks().len(), 1, "relayed: {relay}");
+    }
+}
+
 /// Guards against late heartbeats that keep a silent worker in use.
 #[test]
 fn late_heartbeats_keep_no_worker_in_use() {
