plan: a start answer without a clock reading stops no run

Cause: the answer to a start order that cannot be read counts as accepted with a clock of 0. A run that had made no progress at the next poll then seemed to have made none since 0 on the worker's clock, and was stopped.

Change: without a reading, progress counts from the first poll that lists the run.

Measured: before, start_answer_without_a_clock_stops_no_run saw a stop after 100 ms; it passes now.

--- a/crates/zinnia-plan/src/polls.rs
+++ b/crates/zinnia-plan/src/polls.rs
@@ -177,10 +177,11 @@
         lost_runs
     }
 
-    /// Reading of the worker's clock when it accepted the start order of a run.
+    /// Reading of the worker's clock when it accepted the start order of a run; `None` if its answer had
+    /// none.
     fn accepted_ms(&self, run: (TaskId, u32)) -> Option<u64> {
         match self.orders.get(&run)?.state {
-            OrderState::Accepted { clock_ms, .. } => Some(clock_ms),
+            OrderState::Accepted { clock_ms, .. } => (clock_ms > 0).then_some(clock_ms),
             OrderState::Open | OrderState::Unknown => None,
         }
     }
--- a/crates/zinnia-plan/tests/odd_values.rs
+++ b/crates/zinnia-plan/tests/odd_values.rs
@@ -151,6 +151,24 @@
     }
 }
 
+/// Guards against a run that counts as stalled and is stopped, because the answer to its start order had no
+/// readable clock.
+#[test]
+fn start_answer_without_a_clock_stops_no_run() {
+    let mut sim = Simulation::new(document(None));
+    sim.add_worker(&incarnation("w", 4_000));
+    sim.submit(job(vec![step(1, 1_000)]));
+    let order = sim.start_tasks().pop().expect("the task is started");
+    sim.start_answered(&order, &StartOutcome::Accepted { clock_ms: 0 });
+    for _ in 0..3 {
+        let plan = sim.plan_after(100);
+        assert_eq!(plan.stops, [], "at {} ms", sim.now);
+        for poll in &plan.polls {
+            sim.report_percent(poll, &[(task(0), 1)], 0);
+        }
+    }
+}
+
 /// Guards against a worker that gets no tasks any more after one heartbeat with a sequence number that is
 /// too large, since all its later ones count as late.
 #[test]
