plan: due times of jobs saturate

Cause: the due time of a round was a plain sum. A job with a first time or an interval near the end of the range ended every debug build that planned it; in a release build the time wrapped, so that a round due after all time counted as due at once.

Change: saturating sums.

Measured: before, odd_jobs_end_no_leader ended with "attempt to add with overflow" in Job::due_ms; it passes now. odd_policy_times_end_no_leader passes before and after.

--- a/crates/zinnia-plan/src/job.rs
+++ b/crates/zinnia-plan/src/job.rs
@@ -128,7 +128,10 @@
     /// Returns when a round is due, in milliseconds since the Unix epoch.
     pub fn due_ms(&self, round: u32) -> i64 {
         match &self.spec.repeat {
-            Some(r) => r.first_ms + i64::from(round) * r.interval_ms,
+            Some(r) => {
+                let offset_ms = i64::from(round).saturating_mul(r.interval_ms);
+                r.first_ms.saturating_add(offset_ms)
+            }
             None => self.accepted_ms,
         }
     }
--- a/crates/zinnia-plan/src/waiting.rs
+++ b/crates/zinnia-plan/src/waiting.rs
@@ -66,7 +66,7 @@
                 if step.gang && tasks.assigned > 0 {
                     continue;
                 }
-                let age_ms = u64::try_from(wall_ms - job.due_ms(r)).unwrap_or(0);
+                let age_ms = u64::try_from(wall_ms.saturating_sub(job.due_ms(r))).unwrap_or(0);
                 steps_waiting.push(WaitingStep {
                     id: StepId {
                         job: *id,
--- a/crates/zinnia-plan/tests/odd_values.rs
+++ b/crates/zinnia-plan/tests/odd_values.rs
@@ -13,11 +13,16 @@
 use zinnia_plan::EndReason;
 use zinnia_plan::Heartbeat;
 use zinnia_plan::Incarnation;
+use zinnia_plan::JobSpec;
+use zinnia_plan::Policy;
+use zinnia_plan::Queue;
 use zinnia_plan::Record;
+use zinnia_plan::Repeat;
 use zinnia_plan::Report;
 use zinnia_plan::Resources;
 use zinnia_plan::StartOutcome;
 use zinnia_plan::State;
+use zinnia_plan::Step;
 use zinnia_types::Time;
 
 /// A cell in which worker `w` runs the only task.
@@ -304,3 +309,114 @@
         "the worker with the least free capacity is first"
     );
 }
+
+/// Guards against a leader that ends by an overflow, or starts a round before its time, for a job or a queue
+/// with odd values.
+#[test]
+fn odd_jobs_end_no_leader() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut JobSpec, &mut Queue),
+        starts: usize,
+    }
+    let cases = [
+        Case {
+            name: "sound",
+            change: |_, _| {},
+            starts: 1,
+        },
+        Case {
+            name: "due after all time",
+            change: |j, _| {
+                j.repeat = Some(Repeat {
+                    count: 3,
+                    first_ms: i64::MAX,
+                    interval_ms: i64::MAX,
+                });
+            },
+            starts: 0,
+        },
+        Case {
+            name: "due before all time",
+            change: |j, _| {
+                j.repeat = Some(Repeat {
+                    count: 3,
+                    first_ms: i64::MIN,
+                    interval_ms: i64::MIN,
+                });
+            },
+            starts: 3,
+        },
+        Case {
+            name: "largest estimate",
+            change: |j, _| j.steps[0].estimate_ms = u64::MAX,
+            starts: 1,
+        },
+        Case {
+            name: "largest demand",
+            change: |j, _| j.steps[0].resources.cpu = u64::MAX,
+            starts: 0,
+        },
+        Case {
+            name: "largest target of a service",
+            change: |j, _| j.steps[0].target_ms = u64::MAX,
+            starts: 1,
+        },
+        Case {
+            name: "largest times of a queue",
+            change: |j, q| {
+                j.steps[0].estimate_ms = u64::MAX;
+                (q.timeout_ms, q.allowance_ms) = (u64::MAX, u64::MAX);
+                q.max_slowdown = f64::MAX;
+            },
+            starts: 1,
+        },
+        Case {
+            name: "negative slowdown",
+            change: |_, q| q.max_slowdown = f64::MIN,
+            starts: 1,
+        },
+    ];
+    for case in cases {
+        let mut document = document(None);
+        let mut spec = job(vec![step(1, 1_000)]);
+        (case.change)(&mut spec, &mut document.queues[0]);
+        let mut sim = Simulation::new(document);
+        sim.add_worker(&incarnation("w", 4_000));
+        assert_eq!(spec.find_error(), None, "{}", case.name);
+        sim.submit(spec);
+        let started = sim.start_tasks().len();
+        assert_eq!(started, case.starts, "{}", case.name);
+        sim.plan_after(1_000);
+    }
+}
+
+/// Guards against an overflow for a policy whose times are far too large.
+#[test]
+fn odd_policy_times_end_no_leader() {
+    for ms in [f64::MAX, f64::MIN, 1e19] {
+        let policy = Policy {
+            base_ms: ms,
+            worker_ms: ms,
+            valid_ms: u64::MAX,
+        };
+        for gang in [false, true] {
+            let mut sim = Simulation::new(document(Some(policy)));
+            sim.add_worker(&incarnation("w", 4_000));
+            let members = Step {
+                gang,
+                ..step(2, 1_000)
+            };
+            sim.submit(job(vec![members]));
+            let queries = sim.plan().queries;
+            for query in &queries {
+                let granted = vec![("w".to_owned(), "t".to_owned())];
+                let now = Time(sim.now);
+                sim.leader.policy_answered(query, Some(granted), now);
+            }
+            let started = sim.start_tasks().len();
+            assert_eq!((queries.len(), started), (1, 2), "{ms} ms, gang: {gang}");
+            sim.plan_after(1_000);
+        }
+    }
+}
