--- a/crates/zinnia-plan/src/heartbeat.rs
+++ b/crates/zinnia-plan/src/heartbeat.rs
@@ -78,12 +78,11 @@
             return Vec::new();
         }
         let view = self.view(state, &incarnation.worker, incarnation.born, now);
-        if view.born != incarnation.born || view.sequence > heartbeat.sequence {
+        if view.born != incarnation.born || !view.accept_sequence(heartbeat.sequence, now) {
             return Vec::new();
         }
-        view.sequence = heartbeat.sequence;
         view.last_heard = now;
-        view.read_clock(heartbeat.clock_ms, now);
+        view.read_heartbeat_clock(heartbeat.clock_ms, now);
         let mut records = Vec::new();
         let known = known.filter(|w| w.incarnation.born == incarnation.born);
         if known.is_none() {
@@ -107,13 +106,12 @@
             return;
         }
         let view = self.view(state, &relayed.worker, relayed.born, now);
-        if view.born != relayed.born || view.sequence > relayed.sequence {
+        if view.born != relayed.born || !view.accept_sequence(relayed.sequence, now) {
             return;
         }
-        view.sequence = relayed.sequence;
         let heard_at = Time(now.0.saturating_sub(relayed.age_ms));
         view.last_heard = view.last_heard.max(heard_at);
         // The reading is older than `now`, so it is a lower bound of the worker's clock.
-        view.read_clock(relayed.clock_ms, now);
+        view.read_heartbeat_clock(relayed.clock_ms, now);
     }
 }
