replica: a voter stays offline while its disk is full

Cause: after a failed write the store was opened again every 0.5 s. Between them it answered the leader, so that it was never silent and a learner with a full disk counted as caught up.

Change: the store counts as open only after it has written the hard state again.

--- a/crates/zinnia-replica/src/thread.rs
+++ b/crates/zinnia-replica/src/thread.rs
@@ -158,9 +158,14 @@
         self.last_proposal
     }
 
+    /// Whether the disk is offline after a failed write.
+    fn is_offline(&self) -> bool {
+        lock(&self.disk_error).is_some()
+    }
+
     /// Passes an event to the node, unless the disk is offline.
     fn step(&mut self, event: Event, actions: &mut Vec<Action>) {
-        if lock(&self.disk_error).is_none() {
+        if !self.is_offline() {
             actions.extend(lock(&self.node).step(event, clock::now()));
         }
     }
@@ -264,10 +269,7 @@
         match action {
             // Their writes are submitted by `dispatch`.
             Action::Persist { .. } | Action::SaveSnapshot { .. } => {}
-            Action::InstallSnapshot { snapshot } => {
-                (self.hooks.install_snapshot)(&snapshot);
-                self.applied.send_replace(snapshot.index);
-            }
+            Action::InstallSnapshot { snapshot } => self.install(&snapshot),
             Action::Send { to, message } => (self.hooks.send)(to, message),
             Action::Committed { proposal_id, index } => {
                 if let Some(tx) = self.pending.remove(&proposal_id) {
@@ -290,8 +292,19 @@
         }
     }
 
+    /// Replaces the application state, unless it is as new already.
+    fn install(&mut self, snapshot: &Snapshot) {
+        if snapshot.index > *self.applied.borrow() {
+            (self.hooks.install_snapshot)(snapshot);
+            self.applied.send_replace(snapshot.index);
+        }
+    }
+
+    /// Applies entries. After a disk failure, the application keeps its state, which has only
+    /// committed entries, and the node emits those after its snapshot again.
     fn apply(&mut self, entries: &[Entry]) {
-        for entry in entries {
+        let applied = *self.applied.borrow();
+        for entry in entries.iter().filter(|e| e.index > applied) {
             let reply = (self.hooks.apply)(entry);
             if let Some(tx) = self.committed.remove(&entry.index) {
                 let index = entry.index;
@@ -304,19 +317,18 @@
     /// Compacts the log once enough entries are applied after the last snapshot.
     fn compact_if_due(&mut self, actions: &mut Vec<Action>) {
         let index = *self.applied.borrow();
-        let due = self.snapshot_index() + self.compact_entries <= index;
-        // A node without a disk has an empty log.
-        let is_due = due && lock(&self.disk_error).is_none();
+        let is_due = {
+            let node = lock(&self.node);
+            let due = node.snapshot_index() + self.compact_entries <= index;
+            // After a disk failure, the log may lack entries that are applied.
+            due && node.applied_index() >= index && !self.is_offline()
+        };
         if is_due && let Some(text) = (self.hooks.take_snapshot)() {
             let data = Data::from(text);
             self.step(Event::Compact { index, data }, actions);
         }
     }
 
-    fn snapshot_index(&self) -> u64 {
-        lock(&self.node).snapshot_index()
-    }
-
     /// Replaces an empty node with one that starts from the initial members. The caller has agreed on
     /// them with the other voters.
     fn bootstrap(&mut self, members: Members) -> bool {
@@ -358,7 +370,7 @@
         self.pending.clear();
         self.committed.clear();
         if self.hooks.reopen.is_some() {
-            // The in-memory state may be ahead of the disk, so discard it.
+            // The log in memory may be ahead of the disk, so discard it.
             *lock(&self.node) = Node::new(self.settings.clone(), RecoveredState::default());
             self.last_reopen = clock::now();
             (self.hooks.role_changed)(Role::Learner, 0, None);
@@ -371,20 +383,26 @@
         let Some(reopen) = self.hooks.reopen.as_ref() else {
             return;
         };
-        if lock(&self.disk_error).is_none() || now.since(self.last_reopen) < REOPEN_INTERVAL_MS {
+        if !self.is_offline() || now.since(self.last_reopen) < REOPEN_INTERVAL_MS {
             return;
         }
         self.last_reopen = now;
-        match reopen() {
+        let reopened = reopen().and_then(|(mut store, recovered)| {
+            // Opening needs no room on the disk. A voter on a full disk would answer the leader and
+            // fail again with the next entry.
+            store.persist(Some(&recovered.hard), None, &[])?;
+            Ok((store, recovered))
+        });
+        match reopened {
             Ok((store, recovered)) => {
                 tracing::info!(
                     event = "disk",
                     entries = recovered.entries.len(),
                     "store reopened after a disk failure"
                 );
-                (self.hooks.install_snapshot)(&recovered.snapshot.clone().unwrap_or_default());
-                let snapshot_index = recovered.snapshot.as_ref().map_or(0, |s| s.index);
-                self.applied.send_replace(snapshot_index);
+                if let Some(snapshot) = recovered.snapshot.as_ref() {
+                    self.install(snapshot);
+                }
                 *lock(&self.node) = Node::new(self.settings.clone(), recovered);
                 self.disk.submit(Job::Open(Box::new(store)), now);
                 *lock(&self.disk_error) = None;
--- a/crates/zinnia-replica/tests/common/mod.rs
+++ b/crates/zinnia-replica/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! Voter 1 of three, whose disk can be paused. The test sends the messages of the others.
+//! Voter 1 of three, whose disk can be paused or full. The test sends the messages of the others.
 
 #![expect(clippy::expect_used, reason = "a failed fixture must stop the test")]
 #![allow(dead_code, reason = "each test file uses only a part of this module")]
@@ -29,7 +29,7 @@
 /// Time without a message after which it counts as not sent.
 pub(crate) const ABSENCE_WINDOW: Duration = Duration::from_millis(300);
 
-/// Disk whose syncs block while it is paused.
+/// Disk whose syncs block while it is paused, and whose writes are refused while it is full.
 #[derive(Default)]
 pub(crate) struct PausableDisk {
     state: Mutex<DiskState>,
@@ -43,6 +43,8 @@
     allowed: u32,
     /// Whether a sync is blocked.
     blocked: bool,
+    /// Whether writes are refused after their first bytes.
+    full: bool,
 }
 
 impl PausableDisk {
@@ -60,6 +62,15 @@
         self.changed.notify_all();
     }
 
+    pub(crate) fn set_full(&self, full: bool) {
+        self.state().full = full;
+    }
+
+    /// Number of bytes that a write may write.
+    fn writable_bytes(&self) -> u64 {
+        if self.state().full { 5 } else { u64::MAX }
+    }
+
     /// Lets the blocked sync of a paused disk pass.
     pub(crate) fn pass_one_sync(&self) {
         let mut state = self.state();
@@ -104,8 +115,10 @@
         let gate = Arc::clone(&disk);
         let options = StoreOptions {
             disk_hook: Some(Arc::new(move |op| {
-                if matches!(op, DiskOp::Sync { .. }) {
-                    gate.sync();
+                match op {
+                    DiskOp::Sync { .. } => gate.sync(),
+                    DiskOp::Write { .. } => return Ok(gate.writable_bytes()),
+                    _ => {}
                 }
                 Ok(u64::MAX)
             })),
@@ -116,7 +129,7 @@
             cluster: "cell".to_owned(),
         };
         let (mut store, mut recovered) =
-            Store::open_with(dir.path(), &wanted, options).expect("the store opens");
+            Store::open_with(dir.path(), &wanted, options.clone()).expect("the store opens");
         let member = |id| Member {
             id: VmId(id),
             peer: format!("127.0.0.1:{id}"),
@@ -127,6 +140,7 @@
         let first = Snapshot::initial(Members::from(members));
         store.save_snapshot(&first).expect("the snapshot is saved");
         recovered.snapshot = Some(first);
+        let folder = dir.path().to_owned();
         let (tx, sent) = mpsc::channel();
         let applied = Arc::<Mutex<Vec<u64>>>::default();
         let applier = Arc::clone(&applied);
@@ -141,7 +155,9 @@
             }),
             install_snapshot: Box::new(|_| {}),
             take_snapshot: Box::new(|| None),
-            reopen: None,
+            reopen: Some(Box::new(move || {
+                Store::open_with(&folder, &wanted, options.clone())
+            })),
             role_changed: Box::new(|_, _, _| {}),
         };
         let settings = Settings {
