replica: proposals are refused while the disk is offline

The discarded node also had no members, so that an offline member could not tell others where they are.

Change: such a proposal is rejected at once, which is certain, since no node receives it. The node that stands in while the disk is offline keeps the members.

Proposals that were open when the write failed end without an outcome, as before.

--- a/crates/zinnia-replica/src/thread.rs
+++ b/crates/zinnia-replica/src/thread.rs
@@ -17,6 +17,7 @@
 use zinnia_raft::Node;
 use zinnia_raft::Proposal;
 use zinnia_raft::RecoveredState;
+use zinnia_raft::RejectReason;
 use zinnia_raft::Role;
 use zinnia_raft::Settings;
 use zinnia_raft::Snapshot;
@@ -107,6 +108,13 @@
     fn handle_input(&mut self, input: Input<R>, actions: &mut Vec<Action>) -> bool {
         match input {
             Input::Event(event) => self.step(event, actions),
+            // The node is discarded, so that no answer of it would follow.
+            Input::Propose(_, tx) | Input::Change(_, tx) if self.is_offline() => {
+                let _ = tx.send(ProposalOutcome::Rejected {
+                    leader: None,
+                    reason: RejectReason::NotLeader,
+                });
+            }
             Input::Propose(data, tx) => {
                 let proposal_id = self.register(tx);
                 self.queued_proposals.push(Proposal { proposal_id, data });
@@ -370,8 +378,14 @@
         self.pending.clear();
         self.committed.clear();
         if self.hooks.reopen.is_some() {
-            // The log in memory may be ahead of the disk, so discard it.
-            *lock(&self.node) = Node::new(self.settings.clone(), RecoveredState::default());
+            // The log in memory may be ahead of the disk, so discard it. The members still serve to
+            // find the other nodes.
+            let members = lock(&self.node).members().clone();
+            let recovered = RecoveredState {
+                snapshot: Some(Snapshot::initial(members)),
+                ..RecoveredState::default()
+            };
+            *lock(&self.node) = Node::new(self.settings.clone(), recovered);
             self.last_reopen = clock::now();
             (self.hooks.role_changed)(Role::Learner, 0, None);
         }
--- a/crates/zinnia-replica/tests/full_disk.rs
+++ b/crates/zinnia-replica/tests/full_disk.rs
@@ -2,16 +2,23 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use common::ABSENCE_WINDOW;
 use common::TIMEOUT;
 use common::TestVoter;
+use common::carries_data;
 use zinnia_raft::AppendEntries;
 use zinnia_raft::Data;
 use zinnia_raft::Entry;
 use zinnia_raft::Message;
+use zinnia_raft::Node;
 use zinnia_raft::Payload;
+use zinnia_raft::RejectReason;
+use zinnia_raft::Role;
+use zinnia_replica::ProposalOutcome;
 use zinnia_types::VmId;
 
 const LEADER_ID: VmId = VmId(2);
@@ -67,6 +74,40 @@
     voter.replica.stop().await;
 }
 
+/// Guards against a leader with a full disk that goes on to lead, and against proposals that get no
+/// answer: those that were open, and those that arrive while the disk is offline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leader_with_a_full_disk_steps_down_and_answers_proposals() {
+    let voter = TestVoter::elected();
+    voter.disk.set_full(true);
+    let replica = Arc::clone(&voter.replica);
+    let open = tokio::spawn(async move { replica.propose("open".to_owned(), TIMEOUT).await });
+    assert!(voter.next_message(TIMEOUT, carries_data).is_some());
+    wait_for_failure(&voter);
+    let began = Instant::now();
+    let outcome = open.await.expect("the task returns an outcome");
+    assert!(outcome.is_none(), "{outcome:?}");
+    assert_ne!(voter.replica.read(Node::role), Role::Leader);
+    assert_eq!(voter.replica.read(|n| n.members().len()), 3);
+    let outcome = voter.replica.propose("late".to_owned(), TIMEOUT).await;
+    let is_refused = matches!(
+        outcome,
+        Some(ProposalOutcome::Rejected {
+            reason: RejectReason::NotLeader,
+            ..
+        })
+    );
+    assert!(is_refused, "{outcome:?}");
+    assert!(began.elapsed() < ABSENCE_WINDOW, "the outcomes were late");
+    voter.disk.set_full(false);
+    let began = Instant::now();
+    while voter.replica.read(Node::role) != Role::Leader {
+        voter.reply_to_all(Duration::from_millis(5));
+        assert!(began.elapsed() < TIMEOUT, "the voter cannot lead again");
+    }
+    voter.replica.stop().await;
+}
+
 fn wait_for_failure(voter: &TestVoter) {
     let began = Instant::now();
     while voter.replica.disk_error().is_none() {
