--- a/crates/zinnia-control/src/leader.rs
+++ b/crates/zinnia-control/src/leader.rs
@@ -202,8 +202,12 @@
 fn log_expired_lease(lease: &ExpiredLease) {
     metrics::counter!("zinnia_expired_leases_total").increment(1);
     tracing::info!(
-        event = "lease_expired", worker = lease.worker, born = lease.born, runs = lease.runs,
-        silent_ms = lease.silent_ms, term_age_ms = lease.term_age_ms,
+        event = "lease_expired",
+        worker = lease.worker,
+        born = lease.born,
+        runs = lease.runs,
+        silent_ms = lease.silent_ms,
+        term_age_ms = lease.term_age_ms,
         "leases of a silent worker have expired; its runs are released"
     );
 }
