control: tests of disks that are full one after another

An operator reported that changes were refused for good after the disks of the members had been full in turn. The settings of a process take the options of its store, so that a test can refuse writes.

--- a/crates/zinnia-control/src/log_hooks.rs
+++ b/crates/zinnia-control/src/log_hooks.rs
@@ -19,12 +19,12 @@
 use zinnia_replica::Hooks;
 use zinnia_replica::clock;
 use zinnia_store::Identity;
+use zinnia_store::Store;
 use zinnia_types::VmId;
 
 use crate::context::CellState;
 use crate::context::MemberContext;
 use crate::member::CLUSTER_NAME;
-use crate::member::open;
 use crate::message::RAFT_METHOD;
 
 /// Creates the callbacks of the log thread.
@@ -42,9 +42,12 @@
         cluster: CLUSTER_NAME.to_owned(),
     };
     let dir = context.settings.data_dir.clone().unwrap_or_default();
+    let options = context.settings.store.clone();
     let last_encoded = Mutex::default();
     Hooks {
-        reopen: Some(Box::new(move || open(&dir, &identity))),
+        reopen: Some(Box::new(move || {
+            Store::open_with(&dir, &identity, options.clone())
+        })),
         send: Box::new(move |to, message| {
             if let Some(context) = sender.upgrade() {
                 send(&context, &last_encoded, to, message);
--- a/crates/zinnia-control/src/member.rs
+++ b/crates/zinnia-control/src/member.rs
@@ -1,6 +1,5 @@
 //! A member of the log: its store, and changes of the membership.
 
-use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::OnceLock;
@@ -22,8 +21,6 @@
 use zinnia_replica::Replica;
 use zinnia_store::Identity;
 use zinnia_store::Store;
-use zinnia_store::StoreError;
-use zinnia_store::StoreOptions;
 use zinnia_types::VmId;
 
 use crate::Settings;
@@ -71,7 +68,9 @@
             },
             cluster: CLUSTER_NAME.to_owned(),
         };
-        let (mut store, mut recovered) = open(dir, &identity).context("cannot open the store")?;
+        let options = settings.store.clone();
+        let (mut store, mut recovered) =
+            Store::open_with(dir, &identity, options).context("cannot open the store")?;
         if store.is_new() && founds {
             write_initial_snapshot(settings, &mut store, &mut recovered)?;
         }
@@ -152,15 +151,6 @@
     }
 }
 
-/// Opens the store in the mode for disks on which unsynced writes may be torn.
-pub(crate) fn open(dir: &Path, identity: &Identity) -> Result<(Store, RecoveredState), StoreError> {
-    let options = StoreOptions {
-        torn_writes: true,
-        ..StoreOptions::default()
-    };
-    Store::open_with(dir, identity, options)
-}
-
 /// Writes the initial snapshot with the seeds as voters; all founding members derive the same one.
 fn write_initial_snapshot(
     settings: &Settings,
--- a/crates/zinnia-control/src/settings.rs
+++ b/crates/zinnia-control/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use zinnia_plan::AdmissionSettings;
+use zinnia_store::StoreOptions;
 use zinnia_types::VmId;
 
 use crate::heartbeat_relay::fnv1a;
@@ -29,6 +30,8 @@
     pub seeds: Vec<String>,
     /// Folder for the log; a process without one is not a member.
     pub data_dir: Option<PathBuf>,
+    /// Options of the store in the data folder.
+    pub store: StoreOptions,
     /// Whether the seeds form a new cell if there is no log yet.
     pub bootstrap: bool,
     /// Desired number of voters.
@@ -61,6 +64,11 @@
             control_addr: String::new(),
             seeds: Vec::new(),
             data_dir: None,
+            // A loss of power may tear unsynced writes.
+            store: StoreOptions {
+                torn_writes: true,
+                ..StoreOptions::default()
+            },
             bootstrap: false,
             voters: 3,
             cluster_key: String::new(),
--- a/crates/zinnia-control/tests/common/mod.rs
+++ b/crates/zinnia-control/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -37,6 +38,8 @@
 use zinnia_plan::Status;
 use zinnia_plan::Step;
 use zinnia_plan::TaskId;
+use zinnia_store::DiskOp;
+use zinnia_store::StoreOptions;
 
 /// Timeout of every wait in these tests.
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(20);
@@ -240,13 +243,47 @@
     }
 }
 
+/// Disk of a member, which can become full.
+#[derive(Default)]
+pub(crate) struct Disk {
+    full: AtomicBool,
+    /// Whether a full disk fails to sync, too, so that the store cannot be opened.
+    pub(crate) sync_fails: AtomicBool,
+}
+
+impl Disk {
+    /// Bytes of a refused write that reach the disk.
+    const PARTIAL_BYTES: u64 = 7;
+
+    pub(crate) fn set_full(&self, full: bool) {
+        self.full.store(full, Ordering::SeqCst);
+    }
+
+    fn on_operation(&self, op: &DiskOp) -> std::io::Result<u64> {
+        let refused = match op {
+            _ if !self.full.load(Ordering::SeqCst) => return Ok(u64::MAX),
+            DiskOp::Write { .. } => return Ok(Self::PARTIAL_BYTES),
+            DiskOp::Create(_) => true,
+            DiskOp::Sync { .. } => self.sync_fails.load(Ordering::SeqCst),
+            _ => false,
+        };
+        match refused {
+            true => Err(std::io::ErrorKind::StorageFull.into()),
+            false => Ok(u64::MAX),
+        }
+    }
+}
+
 pub(crate) struct Cell {
     pub(crate) members: Vec<Process>,
+    /// Disks of the members.
+    pub(crate) disks: Vec<Arc<Disk>>,
+    pub(crate) base: Settings,
     pub(crate) client: Process,
     pub(crate) worker: SharedWorker,
     pub(crate) origin: Instant,
     pub(crate) seeds: Vec<String>,
-    pub(crate) _dirs: Vec<tempfile::TempDir>,
+    pub(crate) dirs: Vec<tempfile::TempDir>,
 }
 
 impl Cell {
@@ -265,33 +302,24 @@
             cluster_key: "key-of-a-test-cell".to_owned(),
             ..settings
         };
-        let mut members = Vec::new();
-        let mut dirs = Vec::new();
-        for addr in addrs {
-            let dir = tempfile::tempdir().expect("a folder");
-            let settings = Settings {
-                peer_addr: addr,
-                control_addr: addr.to_string(),
-                data_dir: Some(dir.path().to_owned()),
-                ..base.clone()
-            };
-            dirs.push(dir);
-            let process = Process::start(settings, transport(&worker, origin)).await;
-            members.push(process.expect("a member"));
-        }
         let settings = Settings {
             peer_addr: free_addr(),
-            ..base
+            ..base.clone()
         };
         let client = Process::start(settings, transport(&worker, origin)).await;
-        let cell = Self {
-            members,
+        let mut cell = Self {
+            members: Vec::new(),
+            disks: Vec::new(),
+            base,
             client: client.expect("a process without a log"),
             worker,
             origin,
             seeds,
-            _dirs: dirs,
+            dirs: Vec::new(),
         };
+        for addr in addrs {
+            cell.add_member(addr).await;
+        }
         let publish = Request::Publish {
             raw: "raw".to_owned(),
             document: document(),
@@ -300,6 +328,27 @@
         cell
     }
 
+    /// Starts a member. It is a voter at once if it has the address of a seed.
+    pub(crate) async fn add_member(&mut self, addr: SocketAddr) {
+        let dir = tempfile::tempdir().expect("a folder");
+        let disk = Arc::new(Disk::default());
+        let hooked = Arc::clone(&disk);
+        let settings = Settings {
+            peer_addr: addr,
+            control_addr: addr.to_string(),
+            data_dir: Some(dir.path().to_owned()),
+            store: StoreOptions {
+                disk_hook: Some(Arc::new(move |op| hooked.on_operation(op))),
+                ..self.base.store.clone()
+            },
+            ..self.base.clone()
+        };
+        self.dirs.push(dir);
+        self.disks.push(disk);
+        let process = Process::start(settings, transport(&self.worker, self.origin)).await;
+        self.members.push(process.expect("a member"));
+    }
+
     /// Sends heartbeats of the worker at regular intervals until the returned task is aborted.
     pub(crate) fn spawn_heartbeats(&self) -> tokio::task::JoinHandle<()> {
         let gateway = Arc::clone(&self.client.gateway);
--- a/crates/zinnia-store/src/store.rs
+++ b/crates/zinnia-store/src/store.rs
@@ -1,5 +1,6 @@
 //! Store of one VM.
 
+use std::fmt;
 use std::fs::File;
 use std::fs::TryLockError;
 use std::path::Path;
@@ -37,6 +38,17 @@
     pub disk_hook: Option<DiskHook>,
 }
 
+impl fmt::Debug for StoreOptions {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StoreOptions")
+            .field("segment_bytes", &self.segment_bytes)
+            .field("rotate_bytes", &self.rotate_bytes)
+            .field("torn_writes", &self.torn_writes)
+            .field("disk_hook", &self.disk_hook.is_some())
+            .finish()
+    }
+}
+
 impl Default for StoreOptions {
     fn default() -> Self {
         Self {
