control: the vote of a removed member goes to its successor at once

Cause: the leader removed a silent voter and promoted the learner that takes its place with the next check, up to 0.5 s later. Between them two of two voters are needed: when the next disk filled up in this time, nothing was committed until it had room again.

Change: after a change that was applied the leader checks for the next one at once.

--- a/crates/zinnia-control/src/member.rs
+++ b/crates/zinnia-control/src/member.rs
@@ -18,6 +18,7 @@
 use zinnia_raft::PeerStatus;
 use zinnia_raft::RecoveredState;
 use zinnia_raft::Snapshot;
+use zinnia_replica::ProposalOutcome;
 use zinnia_replica::Replica;
 use zinnia_store::Identity;
 use zinnia_store::Store;
@@ -193,13 +194,15 @@
     tokio::spawn(async move { apply_change(&context, change).await });
 }
 
-async fn apply_change(context: &MemberContext, change: MembershipChange) {
+/// Proposes a membership change. Returns whether it is applied.
+async fn apply_change(context: &MemberContext, change: MembershipChange) -> bool {
     let Some(replica) = context.replica.get() else {
-        return;
+        return false;
     };
     let text = format!("{change:?}");
     let verdict = replica.change(change, CHANGE_TIMEOUT).await;
     tracing::info!(event = "members", change = text, outcome = ?verdict, "membership change finished");
+    matches!(verdict, Some(ProposalOutcome::Applied { .. }))
 }
 
 /// Changes the membership while this process leads: promotes learners that have caught up and
@@ -207,12 +210,13 @@
 async fn manage_members(context: Arc<MemberContext>) {
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        if context.is_leader()
+        // A change may require the next one: between the removal of a voter and the promotion of the
+        // learner that takes its place, the cell tolerates no further loss.
+        while context.is_leader()
             && let Some(Some(change)) =
                 context.read(|n| next_change(n, &context.settings, context.id))
-        {
-            apply_change(&context, change).await;
-        }
+            && apply_change(&context, change).await
+        {}
     }
 }
 
