--- a/crates/zinnia-store/tests/faults.rs
+++ b/crates/zinnia-store/tests/faults.rs
@@ -35,7 +35,9 @@
     operations: usize,
     /// Number of the operation that fails, counted from 1.
     failing_operation: usize,
-    /// Bytes that the failing operation writes before the error.
+    /// Whether all operations fail that need room.
+    full: bool,
+    /// Bytes that a failing operation writes before the error.
     partial_bytes: u64,
     /// Durable length of each file by its current path.
     synced_len: BTreeMap<PathBuf, u64>,
@@ -60,7 +62,8 @@
     /// Records an operation. Returns the maximum number of bytes to write.
     fn on_operation(&mut self, op: &DiskOp) -> io::Result<u64> {
         self.operations += 1;
-        let fails = self.operations == self.failing_operation;
+        let needs_room = matches!(op, DiskOp::Create(_) | DiskOp::Write { .. });
+        let fails = self.operations == self.failing_operation || (self.full && needs_room);
         if fails && !matches!(op, DiskOp::Write { .. }) {
             return Err(io::ErrorKind::StorageFull.into());
         }
@@ -320,3 +323,70 @@
         }
     }
 }
+
+/// Guards against a folder that cannot be opened, or that lost synced data, after its disk was full
+/// and the store was opened several times meanwhile.
+#[test]
+fn folder_opens_again_after_its_disk_was_full() {
+    struct Case {
+        name: &'static str,
+        /// Writes before the disk is full, each with a sync.
+        synced: usize,
+        refused: StoreWrite,
+        partial_bytes: u64,
+    }
+    let case = |name, synced, refused, partial_bytes| Case {
+        name,
+        synced,
+        refused,
+        partial_bytes,
+    };
+    let cases = [
+        case("nothing of an entry is written", 3, StoreWrite::Append, 0),
+        case("a part of an entry is written", 3, StoreWrite::Append, 20),
+        case("a vote", 3, StoreWrite::SaveVote, 5),
+        case("a truncation", 3, StoreWrite::Truncate { count: 2 }, 13),
+        case(
+            "a snapshot",
+            8,
+            StoreWrite::SaveSnapshot { retained: 2 },
+            30,
+        ),
+        case("an entry in a later segment", 20, StoreWrite::Append, 20),
+    ];
+    for case in cases {
+        let name = case.name;
+        let dir = tempfile::tempdir().expect("a temporary folder is created");
+        let faulty_disk = Arc::new(Mutex::new(FaultyDisk {
+            partial_bytes: case.partial_bytes,
+            ..FaultyDisk::default()
+        }));
+        let set_full = |full| {
+            let mut disk = faulty_disk.lock().expect("the lock is not poisoned");
+            disk.full = full;
+        };
+        let (mut store, mut model) = open_store(dir.path(), &faulty_disk).expect("a new store");
+        for _ in 0..case.synced {
+            perform_write(&mut store, &mut model, &StoreWrite::Append).expect("the disk has room");
+        }
+        set_full(true);
+        let error = perform_write(&mut store, &mut model.clone(), &case.refused)
+            .expect_err("the disk is full");
+        assert!(error.is_full(), "{name}: {error}");
+        drop(store);
+        for _ in 0..3 {
+            let (mut store, recovered) =
+                open_store(dir.path(), &faulty_disk).expect("opening needs no room");
+            assert_eq!(recovered, model, "{name}");
+            let probe = store.persist(Some(&model.hard), None, &[]);
+            assert!(probe.is_err_and(|e| e.is_full()), "{name}");
+        }
+        set_full(false);
+        for _ in 0..2 {
+            let (mut store, recovered) =
+                open_store(dir.path(), &faulty_disk).expect("the disk has room");
+            assert_eq!(recovered, model, "{name}");
+            perform_write(&mut store, &mut model, &case.refused).expect("the disk has room");
+        }
+    }
+}
