--- a/crates/zinnia-plan/tests/odd_values.rs
+++ b/crates/zinnia-plan/tests/odd_values.rs
@@ -26,6 +26,7 @@
 use zinnia_types::Time;
 
 /// A cell in which worker `w` runs the only task.
+#[expect(clippy::expect_used, reason = "a test must stop if its setup fails")]
 fn running() -> Simulation {
     let mut sim = Simulation::new(document(None));
     sim.add_worker(&incarnation("w", 4_000));
