--- a/crates/zinnia-control/tests/full_disks.rs
+++ b/crates/zinnia-control/tests/full_disks.rs
@@ -134,6 +134,7 @@
     }
 }
 
+#[expect(clippy::expect_used, reason = "a failed task must stop the test")]
 async fn check(case: &Case) {
     let name = case.name;
     let mut cell = Cell::start_with(Settings {
