daemon: a VM whose disk was full rejoins without a restart

Cause: the callbacks of the daemon had no way to open the store again, so a failed write kept a VM out of the quorum until an operator restarted it. After the disks of two of three voters had been full, one after the other and never both at once, the cell refused every change although all processes ran.

Change: the daemon opens its data folder again as a member on the users' platform does, with the files of withdrawn keys and of jobs accepted in isolation. The cell state and the schedulers stay.

--- a/crates/zinnia-daemon/src/daemon.rs
+++ b/crates/zinnia-daemon/src/daemon.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::OnceLock;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
@@ -38,6 +39,7 @@
 use zinnia_raft::Payload;
 use zinnia_raft::RecoveredState;
 use zinnia_replica::Hooks;
+use zinnia_replica::ReopenFn;
 use zinnia_store::Identity as FolderIdentity;
 use zinnia_store::Store;
 use zinnia_store::StoreOptions;
@@ -266,19 +268,16 @@
                 isolated_jobs: BTreeMap::new(),
             });
         };
-        let options = StoreOptions {
-            disk_hook: settings.disk_hook.as_ref().map(|d| Arc::clone(&d.0)),
-            ..StoreOptions::default()
-        };
-        let (store, recovered) = Store::open_with(folder, &new_identity, options)
-            .with_context(|| format!("open the data folder {}", folder.display()))?;
+        let (store, recovered) =
+            Store::open_with(folder, &new_identity, store_options(settings))
+                .with_context(|| format!("open the data folder {}", folder.display()))?;
         let (file, texts) = store.withdrawn_keys().context("open the withdrawn keys")?;
         let ids = texts
             .iter()
             .map(|t| t.parse().context("read the withdrawn keys"))
             .collect::<Result<_>>()?;
         let (jobs, texts) = store
-            .open_records("jobs")
+            .open_records(Journal::FILE_NAME)
             .context("open the journal of isolated jobs")?;
         let (journal, isolated_jobs) = Journal::open(jobs, &texts)?;
         Ok(Self {
@@ -293,6 +292,39 @@
     }
 }
 
+fn store_options(settings: &Settings) -> StoreOptions {
+    StoreOptions {
+        disk_hook: settings.disk_hook.as_ref().map(|d| Arc::clone(&d.0)),
+        ..StoreOptions::default()
+    }
+}
+
+/// Returns the callback that opens the data folder again after a disk failure, with its record files,
+/// which may have failed as well. `None` without a data folder.
+fn reopen_hook(shared: &Arc<Shared>) -> Option<ReopenFn> {
+    let folder = shared.settings.data.clone()?;
+    let identity = FolderIdentity {
+        id: shared.id(),
+        cluster: shared.settings.cell.to_string(),
+    };
+    let options = store_options(&shared.settings);
+    let weak = Arc::downgrade(shared);
+    Some(Box::new(move || {
+        let (store, recovered) = Store::open_with(&folder, &identity, options.clone())?;
+        if let Some(shared) = weak.upgrade() {
+            // Locked while the file is read, so that no record is appended meanwhile.
+            let mut withdrawn_file = shared
+                .withdrawn_file
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            *withdrawn_file = Some(store.withdrawn_keys()?.0);
+            drop(withdrawn_file);
+            shared.journal.reopen(&store)?;
+        }
+        Ok((store, recovered))
+    }))
+}
+
 fn read_secret(text: &Option<String>, file: &Option<std::path::PathBuf>) -> Result<Option<String>> {
     if text.is_some() {
         return Ok(text.clone());
@@ -410,7 +442,7 @@
         metrics::counter!("zinnia_role_changes_total").increment(1);
     };
     Hooks {
-        reopen: None,
+        reopen: reopen_hook(shared),
         send: Box::new(send),
         apply: Box::new(apply),
         install_snapshot: Box::new(install),
--- a/crates/zinnia-daemon/src/journal.rs
+++ b/crates/zinnia-daemon/src/journal.rs
@@ -18,6 +18,8 @@
 use zinnia_cell::LiveJob;
 use zinnia_cell::Reply;
 use zinnia_store::RecordFile;
+use zinnia_store::Store;
+use zinnia_store::StoreError;
 use zinnia_types::Code;
 use zinnia_types::ErrorBody;
 use zinnia_types::ExecutionStatus;
@@ -58,6 +60,20 @@
 }
 
 impl Journal {
+    /// Name of the file in the store.
+    pub const FILE_NAME: &str = "jobs";
+
+    /// Opens the file again after a disk failure. Its jobs stay in memory.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file is corrupt or cannot be read.
+    pub fn reopen(&self, store: &Store) -> Result<(), StoreError> {
+        let mut file = self.lock();
+        *file = Some(store.open_records(Self::FILE_NAME)?.0);
+        Ok(())
+    }
+
     /// Reads the jobs from the records of the journal file.
     ///
     /// # Errors
--- a/crates/zinnia-local/src/cell.rs
+++ b/crates/zinnia-local/src/cell.rs
@@ -210,6 +210,13 @@
         }
     }
 
+    /// Makes room on the disk of a VM, so that writes succeed again.
+    pub fn clear_disk(&self, index: usize) {
+        if let Some(vm) = self.vms.get(index) {
+            self.full_disks.clear(vm.settings.name.as_str());
+        }
+    }
+
     /// Number of VMs, whether their daemons run or not.
     pub fn len(&self) -> usize {
         self.vms.len()
--- a/crates/zinnia-local/src/full_disks.rs
+++ b/crates/zinnia-local/src/full_disks.rs
@@ -22,6 +22,12 @@
         vm_names.insert(vm_name.to_owned());
     }
 
+    /// Makes the writes of the VM succeed again.
+    pub fn clear(&self, vm_name: &str) {
+        let mut vm_names = self.vm_names.lock().unwrap_or_else(PoisonError::into_inner);
+        vm_names.remove(vm_name);
+    }
+
     /// Hook for the daemon settings of a VM. It follows later changes of the set.
     pub fn disk_hook(&self, vm_name: &str) -> DiskHook {
         let full_disks = self.clone();
