plan, control: a task that crashes its workers is given up at the third crash

Cause: nothing counts crashes.

Change: the replicated state keeps, for each task or gang, the runs that ended by a crash of their worker: a new incarnation with the same name or address whose predecessor neither drained nor had shut down, also if the lease had expired before. Runs that started more than 3 s before the last start on the worker are no suspects, and a run of 30 s clears its task. The third run ends the job as failed (MAX_CRASHES). Until then placement keeps a suspect apart from other suspects and from tasks that have just started, where there is room. Log line `give_up`, metric `zinnia_given_up_jobs_total`.

--- a/crates/zinnia-control/src/log_hooks.rs
+++ b/crates/zinnia-control/src/log_hooks.rs
@@ -208,6 +208,15 @@
             }
             leader.ends_acked(worker, now);
         }
+        (Record::AddIncarnation(incarnation), Reply::Added { given_up }) => {
+            metrics::counter!("zinnia_given_up_jobs_total").increment(given_up.len() as u64);
+            for task in given_up {
+                tracing::warn!(
+                    event = "give_up", task = %task, worker = incarnation.worker,
+                    "job is given up: too many workers crashed under one of its tasks"
+                );
+            }
+        }
         (Record::Release(list), _) => {
             metrics::counter!("zinnia_voids_total").increment(list.len() as u64);
             for (task, run, _) in list {
--- a/crates/zinnia-plan/src/capacity.rs
+++ b/crates/zinnia-plan/src/capacity.rs
@@ -23,6 +23,10 @@
     /// Whether the worker runs best-effort tasks, and tasks that serve user requests.
     pub(crate) best_effort: bool,
     pub(crate) services: bool,
+    /// Whether a young run is that of a task under which a worker has crashed.
+    pub(crate) suspect: bool,
+    /// Whether the pass starts a task on the worker.
+    pub(crate) starts: bool,
 }
 
 impl WorkerCapacity<'_> {
@@ -89,6 +93,8 @@
             unqueried: free,
             best_effort: worker.best_effort > 0,
             services: worker.services > 0,
+            suspect: false,
+            starts: false,
         };
         if let Some(entry) = self.workers.get_mut(index.position()) {
             *entry = Some(capacity);
--- a/crates/zinnia-plan/src/gang.rs
+++ b/crates/zinnia-plan/src/gang.rs
@@ -219,7 +219,11 @@
     ) -> Option<Vec<WorkerIndex>> {
         let count = waiting.state.tasks.len();
         let mut available = available.to_vec();
-        available.sort_by_cached_key(|w| readiness(*w));
+        let is_suspect = self.state.is_suspect(waiting.task_id(0));
+        available.sort_by_cached_key(|w| {
+            let mixture = self.mixture(is_suspect, *w);
+            (readiness(*w), mixture)
+        });
         let select = |workers: &mut dyn Iterator<Item = WorkerIndex>| {
             let chosen = self.fit_members(waiting, workers, WorkerCapacity::unreserved);
             (chosen.len() == count).then_some(chosen)
@@ -243,11 +247,13 @@
     }
 
     fn start_gang(&mut self, waiting: &WaitingStep<'a>, choice: &[WorkerIndex], plan: &mut Plan) {
+        let is_suspect = self.state.is_suspect(waiting.task_id(0));
         let run = waiting.state.tasks.iter().map(|t| t.run).max().unwrap_or(0) + 1;
         for (index, &worker) in (0..).zip(choice) {
             if let Some(start) = self.new_start(waiting, index, run, worker) {
                 plan.starts.push(start);
                 self.allocate(waiting, worker);
+                self.mark_suspect(is_suspect, worker);
             }
         }
     }
--- a/crates/zinnia-plan/src/job.rs
+++ b/crates/zinnia-plan/src/job.rs
@@ -15,7 +15,7 @@
     Open,
     /// All tasks are complete.
     Completed,
-    /// A task reached the limit of failed runs.
+    /// A task reached the limit of failed runs, or too many workers crashed under it.
     Failed,
     /// The caller cancelled the job.
     Cancelled,
@@ -29,11 +29,14 @@
     #[serde(rename = "r")]
     pub run: u32,
     /// Number of failed runs.
-    #[serde(rename = "f", skip_serializing_if = "is_zero")]
+    #[serde(rename = "f", skip_serializing_if = "is_default")]
     pub failures: u32,
     /// Worker to which the latest run is assigned, until the run has ended.
     #[serde(rename = "w", skip_serializing_if = "Option::is_none")]
     pub worker: Option<String>,
+    /// When the assigned run was assigned, in milliseconds since the Unix epoch; 0 without one.
+    #[serde(rename = "b", skip_serializing_if = "is_default")]
+    pub started_ms: i64,
     /// Whether the task is complete.
     #[serde(rename = "d", skip_serializing_if = "std::ops::Not::not")]
     pub done: bool,
@@ -45,9 +48,8 @@
     pub failed_on: String,
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
-fn is_zero(n: &u32) -> bool {
-    *n == 0
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
 }
 
 /// State of one step in one round.
--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod backlog;
 mod capacity;
+mod crash;
 mod document;
 mod gang;
 mod headroom;
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -54,7 +54,8 @@
             return;
         }
         waiting.sort_by_key(|d| (d.queue.priority, d.expired, d.job.accepted_ms, d.id));
-        let capacities = self.worker_capacities(state, now);
+        let mut capacities = self.worker_capacities(state, now);
+        mark_suspects(&mut capacities, &self.indices, state, wall_ms);
         let mut pass = PlacementPass {
             state,
             indices: &self.indices,
@@ -92,6 +93,42 @@
     }
 }
 
+/// Marks the workers on which a young run may cause a crash again.
+fn mark_suspects(
+    capacities: &mut Capacities<'_>,
+    indices: &WorkerIndices,
+    state: &State,
+    wall_ms: i64,
+) {
+    for &(first, _) in &state.crashed {
+        let members = match state.step(first) {
+            Some(step) if step.gang => step.count,
+            _ => 1,
+        };
+        for index in first.index..first.index + members {
+            let task = state.task(TaskId { index, ..first });
+            let young = task.filter(|t| t.is_young(wall_ms));
+            let worker = young.and_then(|t| indices.get(t.worker.as_ref()?));
+            if let Some(capacity) = worker.and_then(|w| capacities.get_mut(w)) {
+                capacity.suspect = true;
+            }
+        }
+    }
+}
+
+/// What shares a worker with a task, if one of them is a suspect. If the worker crashes, all of them
+/// count as the cause.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Mixture {
+    /// No task is a suspect, or no other one is young.
+    #[default]
+    None,
+    /// The task is a suspect, and other ones are young.
+    Other,
+    /// A young suspect.
+    Suspect,
+}
+
 /// What is left of a step after its tasks were placed.
 enum Unplaced {
     /// The team's limit allows no further task.
@@ -265,6 +302,7 @@
         if let Some(capacity) = self.capacities.get_mut(worker) {
             capacity.best_effort |= waiting.step.best_effort;
             capacity.services |= waiting.step.is_service();
+            capacity.starts = true;
         }
         let used = self.team_usage(&waiting.job.team);
         *used = used.plus(&waiting.step.resources);
@@ -283,18 +321,39 @@
     ) -> Option<Start> {
         let capacity = self.capacities.get(worker)?;
         Some(Start {
-            task: TaskId {
-                job: waiting.id.job,
-                round: waiting.id.round,
-                step: waiting.id.step,
-                index,
-            },
+            task: waiting.task_id(index),
             run,
             worker: capacity.name.to_owned(),
             born: capacity.worker.incarnation.born,
         })
     }
 
+    /// How hard it would be to tell which task is the cause if the worker crashes after one more
+    /// start. A suspect is a task under which a worker has crashed.
+    pub(crate) fn mixture(&self, is_suspect: bool, worker: WorkerIndex) -> Mixture {
+        let Some(capacity) = self.capacities.get(worker) else {
+            return Mixture::None;
+        };
+        let is_young = |(id, _): &(TaskId, u32)| {
+            let task = self.state.task(*id);
+            task.is_some_and(|t| t.is_young(self.wall_ms))
+        };
+        if capacity.suspect {
+            Mixture::Suspect
+        } else if is_suspect && (capacity.starts || capacity.worker.runs.iter().any(is_young)) {
+            Mixture::Other
+        } else {
+            Mixture::None
+        }
+    }
+
+    /// Records whether a task that is started on the worker is a suspect.
+    pub(crate) fn mark_suspect(&mut self, is_suspect: bool, worker: WorkerIndex) {
+        if let Some(capacity) = self.capacities.get_mut(worker) {
+            capacity.suspect |= is_suspect;
+        }
+    }
+
     /// Places the tasks of a step one by one.
     fn place_tasks(
         &mut self,
@@ -322,9 +381,11 @@
             };
             // A worker on which the task failed before is used only if there is no other.
             let failed_on = self.indices.get(&task.failed_on);
-            let mut candidates = available.iter().copied().filter(fits);
-            let preferred = candidates.clone().find(|w| Some(*w) != failed_on);
-            let Some(worker) = preferred.or_else(|| candidates.next()) else {
+            let candidates = available.iter().copied().filter(fits);
+            let is_suspect = self.state.is_suspect(waiting.task_id(index));
+            let rank = |w: &WorkerIndex| (self.mixture(is_suspect, *w), Some(*w) == failed_on);
+            let preferred = candidates.clone().find(|w| rank(w) == Default::default());
+            let Some(worker) = preferred.or_else(|| candidates.min_by_key(rank)) else {
                 unplaced += 1;
                 continue;
             };
@@ -332,6 +393,7 @@
                 plan.starts.push(start);
                 *task_counts.entry(worker).or_default() += 1;
                 self.allocate(waiting, worker);
+                self.mark_suspect(is_suspect, worker);
             }
         }
         Unplaced::Tasks(unplaced)
--- a/crates/zinnia-plan/src/record.rs
+++ b/crates/zinnia-plan/src/record.rs
@@ -165,6 +165,11 @@
 pub enum Reply {
     /// The record is applied, or had been applied before.
     Done,
+    /// The incarnation is registered, or was before.
+    Added {
+        /// Tasks whose jobs are given up because too many workers have crashed under them.
+        given_up: Vec<TaskId>,
+    },
     /// The starts that the state allowed; the others are dropped.
     Started(Vec<Start>),
     /// The job id belongs to another queue or team.
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::mem;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -50,6 +51,14 @@
     /// Number of assigned runs that serve user requests.
     #[serde(rename = "serves")]
     pub services: u32,
+    /// When the incarnation was last assigned a run, in milliseconds since the Unix epoch; 0 before
+    /// the first.
+    #[serde(default)]
+    pub last_start_ms: i64,
+    /// Runs that were released since then and are suspects if the incarnation turns out to have
+    /// crashed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub released: Vec<(TaskId, u32)>,
 }
 
 /// State that the log replicates to all members.
@@ -72,6 +81,10 @@
     pub usage: BTreeMap<String, Resources>,
     /// Jobs that have not ended or still have assigned runs.
     pub live: BTreeSet<JobId>,
+    /// Runs of open jobs that ended by a crash of their worker and may have caused it: the task, the
+    /// first one for a gang, and the number of the run.
+    #[serde(default)]
+    pub crashed: BTreeSet<(TaskId, u32)>,
     /// Ended jobs by the time of their end, for removal after the retention time.
     ended: BTreeSet<(i64, JobId)>,
 }
@@ -102,10 +115,9 @@
                 spec,
             } => self.submit(*id, queue, team, spec),
             Record::Cancel(id) => self.cancel(*id),
-            Record::AddIncarnation(incarnation) => {
-                self.add_incarnation(incarnation);
-                Reply::Done
-            }
+            Record::AddIncarnation(incarnation) => Reply::Added {
+                given_up: self.add_incarnation(incarnation),
+            },
             Record::Drain { worker, born } => {
                 if let Some(current) = self.workers.get_mut(worker)
                     && current.incarnation.born == *born
@@ -129,6 +141,9 @@
                 Reply::Done
             }
             Record::Release(list) => {
+                for (task, run, _) in list {
+                    self.keep_released(*task, *run);
+                }
                 for (task, run, checkpoint) in list {
                     self.release_run(*task, *run, checkpoint);
                 }
@@ -156,7 +171,7 @@
         Reply::Done
     }
 
-    fn end_job(&mut self, id: JobId, status: Status) {
+    pub(crate) fn end_job(&mut self, id: JobId, status: Status) {
         let at = self.at_ms;
         if let Some(job) = self.jobs.get_mut(&id)
             && job.status == Status::Open
@@ -164,6 +179,7 @@
             job.status = status;
             job.ended_ms = at;
             self.ended.insert((at, id));
+            self.clear_crashes(id);
         }
         self.release_ended(id);
     }
@@ -190,11 +206,14 @@
         }
     }
 
-    fn add_incarnation(&mut self, incarnation: &Incarnation) {
+    /// Registers an incarnation. Returns the tasks whose jobs are given up because the previous
+    /// incarnation has crashed.
+    fn add_incarnation(&mut self, incarnation: &Incarnation) -> Vec<TaskId> {
         let old = self.workers.get(&incarnation.worker);
         if old.is_some_and(|w| w.incarnation.born >= incarnation.born) {
-            return;
+            return Vec::new();
         }
+        let mut given_up = self.record_crash(&incarnation.worker);
         // Only one process can listen on an address, so an older worker with the same address has
         // ended.
         let same_addr = |w: &&Worker| {
@@ -208,6 +227,7 @@
             .map(|w| (w.incarnation.worker.clone(), w.incarnation.born))
             .collect();
         for (worker, born) in ended {
+            given_up.extend(self.record_crash(&worker));
             self.end_incarnation(&worker, born);
         }
         // Orders to the previous incarnation may have reached this one. Its runs stay assigned
@@ -222,6 +242,7 @@
             ..Worker::default()
         };
         self.workers.insert(incarnation.worker.clone(), worker);
+        given_up
     }
 
     fn end_incarnation(&mut self, worker: &str, born: i64) {
@@ -232,6 +253,7 @@
             return;
         }
         current.left = true;
+        current.released.clear();
         let runs: Vec<(TaskId, u32)> = current.runs.iter().copied().collect();
         for (task, run) in runs {
             self.release_run(task, run, "");
@@ -299,7 +321,7 @@
     }
 
     fn assign(&mut self, start: &Start) {
-        let id = start.task;
+        let (id, at) = (start.task, self.at_ms);
         let Some((step, state)) = self.step_mut(id) else {
             return;
         };
@@ -309,12 +331,16 @@
         if let Some(task) = state.tasks.get_mut(id.index as usize) {
             task.run = start.run;
             task.worker = Some(start.worker.clone());
+            task.started_ms = at;
         }
         if let Some(worker) = self.workers.get_mut(&start.worker) {
             worker.runs.insert((id, start.run));
             worker.used = worker.used.plus(&demand);
             worker.best_effort += counts.0;
             worker.services += counts.1;
+            worker.last_start_ms = at;
+            // The worker has answered since the runs were released.
+            worker.released.clear();
         }
         if let Some(job) = self.jobs.get_mut(&id.job) {
             job.begun = true;
@@ -340,6 +366,7 @@
         let Some(name) = task.worker.take() else {
             return false;
         };
+        let started_ms = mem::take(&mut task.started_ms);
         state.assigned -= 1;
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.runs.remove(&(id, run));
@@ -353,6 +380,7 @@
                 *usage = usage.minus(&resources);
             }
         }
+        self.clear_survivor(id, started_ms);
         true
     }
 
--- a/crates/zinnia-plan/src/waiting.rs
+++ b/crates/zinnia-plan/src/waiting.rs
@@ -9,6 +9,7 @@
 use crate::Step;
 use crate::StepId;
 use crate::StepState;
+use crate::TaskId;
 use crate::policy::PolicyDecisions;
 use crate::policy::QueryPurpose;
 
@@ -26,6 +27,16 @@
 }
 
 impl WaitingStep<'_> {
+    /// Id of one of the step's tasks.
+    pub(crate) fn task_id(&self, index: u32) -> TaskId {
+        TaskId {
+            job: self.id.job,
+            round: self.id.round,
+            step: self.id.step,
+            index,
+        }
+    }
+
     /// Purpose of the next query that lets tasks of the step start.
     pub(crate) fn query_purpose(&self, decisions: &PolicyDecisions) -> QueryPurpose {
         match decisions.queried.is_empty() {
