--- a/crates/zinnia-control/src/member.rs
+++ b/crates/zinnia-control/src/member.rs
@@ -1,6 +1,5 @@
 //! A member of the log: its store, and changes of the membership.
 
-use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::OnceLock;
@@ -19,11 +18,10 @@
 use zinnia_raft::PeerStatus;
 use zinnia_raft::RecoveredState;
 use zinnia_raft::Snapshot;
+use zinnia_replica::ProposalOutcome;
 use zinnia_replica::Replica;
 use zinnia_store::Identity;
 use zinnia_store::Store;
-use zinnia_store::StoreError;
-use zinnia_store::StoreOptions;
 use zinnia_types::VmId;
 
 use crate::Settings;
@@ -71,7 +69,9 @@
             },
             cluster: CLUSTER_NAME.to_owned(),
         };
-        let (mut store, mut recovered) = open(dir, &identity).context("cannot open the store")?;
+        let options = settings.store.clone();
+        let (mut store, mut recovered) =
+            Store::open_with(dir, &identity, options).context("cannot open the store")?;
         if store.is_new() && founds {
             write_initial_snapshot(settings, &mut store, &mut recovered)?;
         }
@@ -152,15 +152,6 @@
     }
 }
 
-/// Opens the store in the mode for disks on which unsynced writes may be torn.
-pub(crate) fn open(dir: &Path, identity: &Identity) -> Result<(Store, RecoveredState), StoreError> {
-    let options = StoreOptions {
-        torn_writes: true,
-        ..StoreOptions::default()
-    };
-    Store::open_with(dir, identity, options)
-}
-
 /// Writes the initial snapshot with the seeds as voters; all founding members derive the same one.
 fn write_initial_snapshot(
     settings: &Settings,
@@ -203,13 +194,15 @@
     tokio::spawn(async move { apply_change(&context, change).await });
 }
 
-async fn apply_change(context: &MemberContext, change: MembershipChange) {
+/// Proposes a membership change. Returns whether it is applied.
+async fn apply_change(context: &MemberContext, change: MembershipChange) -> bool {
     let Some(replica) = context.replica.get() else {
-        return;
+        return false;
     };
     let text = format!("{change:?}");
     let verdict = replica.change(change, CHANGE_TIMEOUT).await;
     tracing::info!(event = "members", change = text, outcome = ?verdict, "membership change finished");
+    matches!(verdict, Some(ProposalOutcome::Applied { .. }))
 }
 
 /// Changes the membership while this process leads: promotes learners that have caught up and
@@ -217,12 +210,13 @@
 async fn manage_members(context: Arc<MemberContext>) {
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        if context.is_leader()
+        // A change may require the next one: between the removal of a voter and the promotion of the
+        // learner that takes its place, the cell tolerates no further loss.
+        while context.is_leader()
             && let Some(Some(change)) =
                 context.read(|n| next_change(n, &context.settings, context.id))
-        {
-            apply_change(&context, change).await;
-        }
+            && apply_change(&context, change).await
+        {}
     }
 }
 
--- a/crates/zinnia-plan/src/polls.rs
+++ b/crates/zinnia-plan/src/polls.rs
@@ -86,7 +86,7 @@
         view.read_clock(report.clock_ms, now);
         if view.confirmed_fence == 0 {
             let duration_ms = lease::max_duration_ms(view.inherited_lease_ms);
-            view.extend_deadline(report.clock_ms + duration_ms);
+            view.extend_deadline(report.clock_ms.saturating_add(duration_ms));
         }
         view.confirmed_fence = view.confirmed_fence.max(poll.fence);
         view.lease_expired = false;
@@ -177,10 +177,11 @@
         lost_runs
     }
 
-    /// Reading of the worker's clock when it accepted the start order of a run.
+    /// Reading of the worker's clock when it accepted the start order of a run; `None` if its answer had
+    /// none.
     fn accepted_ms(&self, run: (TaskId, u32)) -> Option<u64> {
         match self.orders.get(&run)?.state {
-            OrderState::Accepted { clock_ms, .. } => Some(clock_ms),
+            OrderState::Accepted { clock_ms, .. } => (clock_ms > 0).then_some(clock_ms),
             OrderState::Open | OrderState::Unknown => None,
         }
     }
--- a/crates/zinnia-plan/src/waiting.rs
+++ b/crates/zinnia-plan/src/waiting.rs
@@ -9,6 +9,7 @@
 use crate::Step;
 use crate::StepId;
 use crate::StepState;
+use crate::TaskId;
 use crate::policy::PolicyDecisions;
 use crate::policy::QueryPurpose;
 
@@ -26,6 +27,16 @@
 }
 
 impl WaitingStep<'_> {
+    /// Id of one of the step's tasks.
+    pub(crate) fn task_id(&self, index: u32) -> TaskId {
+        TaskId {
+            job: self.id.job,
+            round: self.id.round,
+            step: self.id.step,
+            index,
+        }
+    }
+
     /// Purpose of the next query that lets tasks of the step start.
     pub(crate) fn query_purpose(&self, decisions: &PolicyDecisions) -> QueryPurpose {
         match decisions.queried.is_empty() {
@@ -66,7 +77,7 @@
                 if step.gang && tasks.assigned > 0 {
                     continue;
                 }
-                let age_ms = u64::try_from(wall_ms - job.due_ms(r)).unwrap_or(0);
+                let age_ms = u64::try_from(wall_ms.saturating_sub(job.due_ms(r))).unwrap_or(0);
                 steps_waiting.push(WaitingStep {
                     id: StepId {
                         job: *id,
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -16,6 +16,12 @@
 use crate::lease::MAX_CLOCK_LAG_PERCENT;
 use crate::worker_index::WorkerIndex;
 
+/// Longest time that the reading of a clock in an answer of a worker takes to arrive.
+const MAX_ANSWER_DELAY_MS: u64 = 3_000;
+
+/// Longest time by which a heartbeat may be delayed.
+const MAX_HEARTBEAT_DELAY_MS: u64 = 12_000;
+
 /// A task counts as stalled when it makes no progress in its estimated run time divided by this.
 const MIN_SPEED_DIVISOR: u64 = 6;
 
@@ -127,7 +133,8 @@
     pub(crate) lease_expired: bool,
     /// Time of the latest answer or heartbeat.
     pub(crate) last_heard: Time,
-    pub(crate) sequence: u64,
+    /// Sequence number of the latest heartbeat, and when it arrived.
+    sequence: (u64, Time),
     /// When the open poll was sent; `None` without an open poll.
     pub(crate) open_poll: Option<Time>,
     /// Whether the open poll was sent to a worker without runs.
@@ -168,7 +175,7 @@
             inherited_until,
             lease_expired: false,
             last_heard: Time(0),
-            sequence: 0,
+            sequence: (0, Time(0)),
             open_poll: None,
             has_open_idle_poll: false,
             next_poll: now,
@@ -186,6 +193,19 @@
         (self.last_heard > Time(0)).then(|| now.since(self.last_heard))
     }
 
+    /// Whether a heartbeat with this sequence number is not older than the latest one; records it if so.
+    ///
+    /// A lower number is accepted after the longest delay. Otherwise one heartbeat with a number far too
+    /// large would silence the worker for good.
+    pub(crate) fn accept_sequence(&mut self, sequence: u64, now: Time) -> bool {
+        let (latest, at) = self.sequence;
+        let accepted = sequence >= latest || now.since(at) > MAX_HEARTBEAT_DELAY_MS;
+        if accepted {
+            self.sequence = (sequence, now);
+        }
+        accepted
+    }
+
     /// Records that no poll is open any more.
     pub(crate) fn close_poll(&mut self) {
         self.open_poll = None;
@@ -200,11 +220,26 @@
         }
     }
 
+    /// Records the reading of the worker's clock in a heartbeat that arrived at `now`.
+    ///
+    /// A heartbeat may come from another writer. Its reading counts only if it fits those in the worker's own
+    /// answers, since one too large would make the worker's lease look expired while its runs go on.
+    pub(crate) fn read_heartbeat_clock(&mut self, clock_ms: u64, now: Time) {
+        let Some((clock, at)) = self.clock else {
+            return;
+        };
+        let latest = clock.saturating_add(now.since(at));
+        if clock_ms <= latest.saturating_add(MAX_ANSWER_DELAY_MS) {
+            self.read_clock(clock_ms, now);
+        }
+    }
+
     /// Lower bound of the worker's clock at `now`.
     fn min_clock(&self, now: Time) -> Option<u64> {
         let (clock, at) = self.clock?;
         let passed = now.since(at);
-        Some(clock + passed - passed * MAX_CLOCK_LAG_PERCENT / 100)
+        let lag = passed.saturating_mul(MAX_CLOCK_LAG_PERCENT) / 100;
+        Some(clock.saturating_add(passed - lag))
     }
 
     /// Returns the deadline, on the worker's clock, of a lease that lasts for `lease_ms` from now.
@@ -212,7 +247,8 @@
     pub(crate) fn deadline(&mut self, lease_ms: u64, now: Time) -> Option<u64> {
         let (clock, at) = self.clock?;
         // A reading may be newer than `now`; the lease still counts from `now`.
-        let deadline = (clock + now.since(at)).saturating_sub(at.since(now)) + lease_ms;
+        let clock = clock.saturating_add(now.since(at));
+        let deadline = clock.saturating_sub(at.since(now)).saturating_add(lease_ms);
         self.max_deadline = self.max_deadline.max(deadline);
         Some(deadline)
     }
@@ -228,7 +264,7 @@
             return false;
         }
         match self.min_clock(now) {
-            Some(clock) => clock > self.max_deadline + CLOCK_MARGIN_MS,
+            Some(clock) => clock > self.max_deadline.saturating_add(CLOCK_MARGIN_MS),
             None => true,
         }
     }
