plan, control: a changed capacity of a running worker takes effect

Change: such a heartbeat goes to the leader, which records it before it is acknowledged. AddIncarnation carries the heartbeat's sequence number and, for the current incarnation, updates the capacity in place; runs, acknowledged ends and drain stay. The state ignores older sequence numbers, also after a change of the leader or if records are committed out of order. The encoding of the record is the same with one more field: earlier builds read it and ignore the number and the new capacity, and entries without a number are read. Free capacity already saturates below what is in use.

Tests: tables in crates/zinnia-plan/tests/heartbeat.rs; before the change five of the file's eight tests failed. tests/state.rs and tests/crash.rs only follow the record's new form.

Result: cargo test of zinnia-plan and zinnia-control passes.

--- a/crates/zinnia-control/src/log_hooks.rs
+++ b/crates/zinnia-control/src/log_hooks.rs
@@ -208,7 +208,7 @@
             }
             leader.ends_acked(worker, now);
         }
-        (Record::AddIncarnation(incarnation), Reply::Added { given_up }) => {
+        (Record::AddIncarnation { incarnation, .. }, Reply::Added { given_up }) => {
             metrics::counter!("zinnia_given_up_jobs_total").increment(given_up.len() as u64);
             for task in given_up {
                 tracing::warn!(
--- a/crates/zinnia-control/src/requests.rs
+++ b/crates/zinnia-control/src/requests.rs
@@ -110,7 +110,8 @@
             born = heartbeat.incarnation.born,
             pool = heartbeat.incarnation.pool,
             draining = heartbeat.draining,
-            "worker is new or starts to drain"
+            cpu = heartbeat.incarnation.resources.cpu,
+            "worker is new, starts to drain or has another capacity"
         );
         self.commit(records).await
     }
--- a/crates/zinnia-plan/src/heartbeat.rs
+++ b/crates/zinnia-plan/src/heartbeat.rs
@@ -7,6 +7,7 @@
 use crate::Incarnation;
 use crate::Leader;
 use crate::Record;
+use crate::Resources;
 use crate::State;
 
 /// A worker's heartbeat.
@@ -62,6 +63,7 @@
             w.incarnation.born == heartbeat.incarnation.born
                 && !w.left
                 && (w.draining || !heartbeat.draining)
+                && w.incarnation.resources == heartbeat.incarnation.resources
         })
     }
 }
@@ -84,10 +86,17 @@
         view.sequence = heartbeat.sequence;
         view.last_heard = now;
         view.read_clock(heartbeat.clock_ms, now);
+        let previous = view.resources.replace(incarnation.resources);
         let mut records = Vec::new();
         let known = known.filter(|w| w.incarnation.born == incarnation.born);
-        if known.is_none() {
-            records.push(Record::AddIncarnation(incarnation.clone()));
+        let is_same = |resources: &Resources| *resources == incarnation.resources;
+        let is_recorded = known.is_some_and(|w| is_same(&w.incarnation.resources))
+            && previous.as_ref().is_none_or(is_same);
+        if !is_recorded {
+            records.push(Record::AddIncarnation {
+                incarnation: incarnation.clone(),
+                sequence: heartbeat.sequence,
+            });
         }
         // Committed before the heartbeat is acknowledged, so that a later leader starts no task on
         // the worker either.
--- a/crates/zinnia-plan/src/record.rs
+++ b/crates/zinnia-plan/src/record.rs
@@ -47,9 +47,16 @@
     },
     /// Cancels a job.
     Cancel(JobId),
-    /// Registers a new incarnation of a worker.
+    /// Registers a new incarnation of a worker, or the changed capacity of the current one.
     #[serde(rename = "join")]
-    AddIncarnation(Incarnation),
+    AddIncarnation {
+        /// The incarnation.
+        #[serde(flatten)]
+        incarnation: Incarnation,
+        /// Sequence number of its heartbeat; 0 from a build that does not tell.
+        #[serde(default)]
+        sequence: u64,
+    },
     /// Excludes an incarnation from new tasks because it is about to shut down.
     Drain {
         /// Name of the worker.
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -34,6 +34,9 @@
     /// The current incarnation.
     #[serde(rename = "life")]
     pub incarnation: Incarnation,
+    /// Sequence number of the heartbeat that reported the capacity.
+    #[serde(default)]
+    pub sequence: u64,
     /// Number of the last run end that was stored.
     #[serde(rename = "noted")]
     pub acked_end: u64,
@@ -115,9 +118,15 @@
                 spec,
             } => self.submit(*id, queue, team, spec),
             Record::Cancel(id) => self.cancel(*id),
-            Record::AddIncarnation(incarnation) => Reply::Added {
-                given_up: self.add_incarnation(incarnation),
-            },
+            Record::AddIncarnation {
+                incarnation,
+                sequence,
+            } => {
+                self.update_capacity(incarnation, *sequence);
+                Reply::Added {
+                    given_up: self.add_incarnation(incarnation, *sequence),
+                }
+            }
             Record::Drain { worker, born } => {
                 if let Some(current) = self.workers.get_mut(worker)
                     && current.incarnation.born == *born
@@ -206,9 +215,21 @@
         }
     }
 
+    /// Stores the capacity that the current incarnation reports. Its runs stay, also if they use more.
+    fn update_capacity(&mut self, incarnation: &Incarnation, sequence: u64) {
+        // Heartbeats can overtake each other, and an older one would bring an old capacity back.
+        if let Some(current) = self.workers.get_mut(&incarnation.worker)
+            && current.incarnation.born == incarnation.born
+            && current.sequence < sequence
+        {
+            current.incarnation.resources = incarnation.resources;
+            current.sequence = sequence;
+        }
+    }
+
     /// Registers an incarnation. Returns the tasks whose jobs are given up because the previous
     /// incarnation has crashed.
-    fn add_incarnation(&mut self, incarnation: &Incarnation) -> Vec<TaskId> {
+    fn add_incarnation(&mut self, incarnation: &Incarnation, sequence: u64) -> Vec<TaskId> {
         let old = self.workers.get(&incarnation.worker);
         if old.is_some_and(|w| w.incarnation.born >= incarnation.born) {
             return Vec::new();
@@ -235,6 +256,7 @@
         let previous = self.workers.remove(&incarnation.worker).unwrap_or_default();
         let worker = Worker {
             incarnation: incarnation.clone(),
+            sequence,
             runs: previous.runs,
             used: previous.used,
             best_effort: previous.best_effort,
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -7,6 +7,7 @@
 use zinnia_types::Time;
 
 use crate::End;
+use crate::Resources;
 use crate::Settings;
 use crate::State;
 use crate::Step;
@@ -128,6 +129,8 @@
     /// Time of the latest answer or heartbeat.
     pub(crate) last_heard: Time,
     pub(crate) sequence: u64,
+    /// Capacity in the latest heartbeat to this leader; it may still be on its way to the state.
+    pub(crate) resources: Option<Resources>,
     /// When the open poll was sent; `None` without an open poll.
     pub(crate) open_poll: Option<Time>,
     /// Whether the open poll was sent to a worker without runs.
@@ -169,6 +172,7 @@
             lease_expired: false,
             last_heard: Time(0),
             sequence: 0,
+            resources: None,
             open_poll: None,
             has_open_idle_poll: false,
             next_poll: now,
--- a/crates/zinnia-plan/tests/crash.rs
+++ b/crates/zinnia-plan/tests/crash.rs
@@ -28,6 +28,14 @@
     }
 }
 
+/// Record that registers an incarnation.
+fn register(incarnation: Incarnation) -> Record {
+    Record::AddIncarnation {
+        incarnation,
+        sequence: 1,
+    }
+}
+
 fn status(sim: &Simulation, id: u64) -> Status {
     sim.state.jobs[&JobId(id)].status
 }
@@ -135,14 +143,14 @@
     let mut sim = Simulation::new(document(None));
     sim.submit(job(vec![step(1, 1_000)]));
     for (run, worker) in (1..).zip(["a", "b", "c"]) {
-        sim.apply(Record::AddIncarnation(reborn(worker, 1)));
+        sim.apply(register(reborn(worker, 1)));
         sim.apply(Record::Start(vec![start(task(0), run, worker, 1)]));
         sim.now += RETURN_MS;
         release(&mut sim, &[(task(0), run)]);
     }
     for worker in ["c", "a", "b"] {
         assert_eq!(status(&sim, 1), Status::Open, "before {worker} returns");
-        sim.apply(Record::AddIncarnation(reborn(worker, 2)));
+        sim.apply(register(reborn(worker, 2)));
     }
     assert_eq!(status(&sim, 1), Status::Failed);
 }
@@ -157,13 +165,13 @@
         addr: "w:80".to_owned(),
         ..reborn(&format!("w{born}"), born)
     };
-    sim.apply(Record::AddIncarnation(named(1)));
+    sim.apply(register(named(1)));
     for run in 1..=3 {
         let born = i64::from(run);
         let worker = format!("w{born}");
         sim.apply(Record::Start(vec![start(task(0), run, &worker, born)]));
         sim.now += RETURN_MS;
-        sim.apply(Record::AddIncarnation(named(born + 1)));
+        sim.apply(register(named(born + 1)));
     }
     assert_eq!(status(&sim, 1), Status::Failed);
 }
@@ -189,7 +197,7 @@
             end: |sim, born, run| {
                 let worker = "w".to_owned();
                 sim.apply(Record::Drain { worker, born });
-                sim.apply(Record::AddIncarnation(reborn("w", born + 1)));
+                sim.apply(register(reborn("w", born + 1)));
                 release(sim, &[(task(0), run)]);
             },
         },
@@ -210,7 +218,7 @@
         sim.submit(job(vec![step(1, 1_000)]));
         for round in 1..=4 {
             let (born, run) = (10 * i64::from(round), 10 * round);
-            sim.apply(Record::AddIncarnation(reborn("w", born)));
+            sim.apply(register(reborn("w", born)));
             sim.apply(Record::Start(vec![start(task(0), run, "w", born)]));
             assert!(sim.state.task(task(0)).is_some(), "{}", case.name);
             sim.now += RETURN_MS;
@@ -232,12 +240,12 @@
     };
     for run in 1..=3 {
         let born = i64::from(run);
-        sim.apply(Record::AddIncarnation(reborn("w", born)));
+        sim.apply(register(reborn("w", born)));
         sim.apply(Record::Start(vec![start(task(0), run, "w", born)]));
         sim.now += 6_000;
         sim.apply(Record::Start(vec![start(deadly, run, "w", born)]));
         sim.now += RETURN_MS;
-        sim.apply(Record::AddIncarnation(reborn("w", born + 1)));
+        sim.apply(register(reborn("w", born + 1)));
         release(&mut sim, &[(task(0), run), (deadly, run)]);
     }
     assert_eq!(status(&sim, 1), Status::Open);
@@ -251,11 +259,11 @@
     sim.submit(job(vec![step(1, 1_000)]));
     let mut run = 0;
     for born in 1..=4 {
-        sim.apply(Record::AddIncarnation(reborn("w", born)));
+        sim.apply(register(reborn("w", born)));
         run += 1;
         sim.apply(Record::Start(vec![start(task(0), run, "w", born)]));
         sim.now += RETURN_MS;
-        sim.apply(Record::AddIncarnation(reborn("w", born + 1)));
+        sim.apply(register(reborn("w", born + 1)));
         release(&mut sim, &[(task(0), run)]);
         if born == 2 {
             run += 1;
@@ -279,13 +287,13 @@
     sim.submit(job(vec![gang]));
     let workers = ["a", "b", "c"];
     for worker in workers {
-        sim.apply(Record::AddIncarnation(reborn(worker, 1)));
+        sim.apply(register(reborn(worker, 1)));
     }
     let starts = (0..).zip(workers).map(|(i, w)| start(task(i), 1, w, 1));
     sim.apply(Record::Start(starts.collect()));
     sim.now += RETURN_MS;
     for worker in workers {
-        sim.apply(Record::AddIncarnation(reborn(worker, 2)));
+        sim.apply(register(reborn(worker, 2)));
     }
     assert_eq!(status(&sim, 1), Status::Open);
 }
@@ -319,7 +327,7 @@
 fn snapshots_without_crashes_are_read() {
     let mut sim = Simulation::new(document(None));
     sim.submit(job(vec![step(1, 1_000)]));
-    sim.apply(Record::AddIncarnation(reborn("w", 1)));
+    sim.apply(register(reborn("w", 1)));
     sim.apply(Record::Start(vec![start(task(0), 1, "w", 1)]));
     let mut value = serde_json::to_value(&sim.state).unwrap();
     let removed = [
--- a/crates/zinnia-plan/tests/heartbeat.rs
+++ b/crates/zinnia-plan/tests/heartbeat.rs
@@ -8,10 +8,13 @@
 use common::incarnation;
 use common::job;
 use common::step;
+use common::task;
+use zinnia_plan::EndReason;
 use zinnia_plan::Heartbeat;
 use zinnia_plan::Incarnation;
 use zinnia_plan::Record;
 use zinnia_plan::Settings;
+use zinnia_plan::Step;
 use zinnia_types::Time;
 
 fn heartbeat(incarnation: Incarnation, draining: bool) -> Heartbeat {
@@ -24,13 +27,14 @@
     }
 }
 
-/// Guards against a heartbeat that is acknowledged without being recorded: the worker's drain would
-/// be lost, or a new incarnation would stay unknown.
+/// Guards against a heartbeat that is acknowledged without being recorded: the worker's drain or
+/// its changed capacity would be lost, or a new incarnation would stay unknown.
 #[test]
 fn only_unchanged_workers_are_answered_by_any_member() {
     struct Case {
         name: &'static str,
         born: i64,
+        cpu: u64,
         draining: bool,
         /// Record that is applied before the heartbeat arrives.
         earlier: Option<Record>,
@@ -41,6 +45,7 @@
         Case {
             name: "nothing new",
             born: 1,
+            cpu: 4_000,
             draining: false,
             earlier: None,
             contained: true,
@@ -48,6 +53,7 @@
         Case {
             name: "starts to drain",
             born: 1,
+            cpu: 4_000,
             draining: true,
             earlier: None,
             contained: false,
@@ -55,6 +61,7 @@
         Case {
             name: "drains as recorded",
             born: 1,
+            cpu: 4_000,
             draining: true,
             earlier: Some(Record::Drain {
                 worker: worker(),
@@ -62,9 +69,18 @@
             }),
             contained: true,
         },
+        Case {
+            name: "another capacity",
+            born: 1,
+            cpu: 3_000,
+            draining: false,
+            earlier: None,
+            contained: false,
+        },
         Case {
             name: "new incarnation",
             born: 2,
+            cpu: 4_000,
             draining: false,
             earlier: None,
             contained: false,
@@ -72,6 +88,7 @@
         Case {
             name: "ended incarnation",
             born: 1,
+            cpu: 4_000,
             draining: false,
             earlier: Some(Record::EndIncarnation {
                 worker: worker(),
@@ -88,7 +105,7 @@
         }
         let sender = Incarnation {
             born: case.born,
-            ..incarnation("w", 4_000)
+            ..incarnation("w", case.cpu)
         };
         let contained = sim
             .state
@@ -161,3 +178,177 @@
         assert_eq!(plan.records, [], "the lease lasts until {lease_end} ms");
     }
 }
+
+/// Guards against a capacity that is ignored because the incarnation is known, and against an older
+/// heartbeat that arrives late and brings an old capacity back.
+#[test]
+fn changed_capacity_reaches_the_state() {
+    struct Case {
+        name: &'static str,
+        /// Sequence number and processor capacity of each heartbeat.
+        beats: &'static [(u64, u64)],
+        change_leader: bool,
+        cpu: u64,
+    }
+    let cases = [
+        Case {
+            name: "shrinks",
+            beats: &[(2, 1_000)],
+            change_leader: false,
+            cpu: 1_000,
+        },
+        Case {
+            name: "shrinks and grows again",
+            beats: &[(2, 1_000), (3, 4_000)],
+            change_leader: false,
+            cpu: 4_000,
+        },
+        Case {
+            name: "older heartbeat arrives late",
+            beats: &[(3, 1_000), (2, 4_000)],
+            change_leader: false,
+            cpu: 1_000,
+        },
+        Case {
+            name: "older heartbeat arrives late at a new leader",
+            beats: &[(3, 1_000), (2, 4_000)],
+            change_leader: true,
+            cpu: 1_000,
+        },
+    ];
+    for case in cases {
+        let mut sim = Simulation::new(document(None));
+        sim.add_worker(&incarnation("w", 4_000));
+        sim.submit(job(vec![step(2, 2_000)]));
+        assert_eq!(sim.start_tasks().len(), 2, "{}", case.name);
+        sim.end("w", 1, task(0), 1, EndReason::Done);
+        sim.apply(Record::Drain {
+            worker: "w".to_owned(),
+            born: 1,
+        });
+        for &(sequence, cpu) in case.beats {
+            sim.heartbeat(&incarnation("w", cpu), sequence, true);
+            if case.change_leader {
+                sim.change_leader(2);
+            }
+        }
+        let worker = &sim.state.workers["w"];
+        assert_eq!(worker.incarnation.resources.cpu, case.cpu, "{}", case.name);
+        let kept = (worker.runs.len(), worker.used.cpu, worker.acked_end);
+        assert_eq!(kept, (1, 2_000, 1), "{}", case.name);
+        assert!(worker.draining, "{}", case.name);
+    }
+}
+
+/// Guards against records that are committed in another order than their heartbeats were sent: the
+/// worker would keep a capacity that it no longer has.
+#[test]
+fn records_of_older_heartbeats_change_no_capacity() {
+    let mut sim = Simulation::new(document(None));
+    sim.add_worker(&incarnation("w", 4_000));
+    let mut records = Vec::new();
+    for (sequence, cpu) in [(2, 3_000), (3, 1_000)] {
+        let changed = Heartbeat {
+            sequence,
+            ..heartbeat(incarnation("w", cpu), false)
+        };
+        let now = Time(sim.now);
+        records.extend(sim.leader.heartbeat(&sim.state, &changed, now));
+    }
+    assert_eq!(records.len(), 2, "{records:?}");
+    for record in records.into_iter().rev() {
+        sim.apply(record);
+    }
+    assert_eq!(sim.state.workers["w"].incarnation.resources.cpu, 1_000);
+}
+
+/// Guards against a capacity that changes back before its change is committed, so that the second
+/// change is taken for no change.
+#[test]
+fn capacity_that_changes_back_is_recorded() {
+    let mut sim = Simulation::new(document(None));
+    sim.add_worker(&incarnation("w", 1_000));
+    let mut records = Vec::new();
+    for (sequence, cpu) in [(2, 4_000), (3, 1_000)] {
+        let changed = Heartbeat {
+            sequence,
+            ..heartbeat(incarnation("w", cpu), false)
+        };
+        let now = Time(sim.now);
+        records.extend(sim.leader.heartbeat(&sim.state, &changed, now));
+    }
+    for record in records {
+        sim.apply(record);
+    }
+    assert_eq!(sim.state.workers["w"].incarnation.resources.cpu, 1_000);
+}
+
+/// Guards against starts that exceed the capacity of a worker that has shrunk, also below what its
+/// runs use.
+#[test]
+fn starts_fit_the_changed_capacity() {
+    struct Case {
+        name: &'static str,
+        cpu: u64,
+        /// Number of tasks, with 1,000 each, that start beside one with 2,000.
+        starts: usize,
+    }
+    let cases = [
+        Case {
+            name: "unchanged",
+            cpu: 4_000,
+            starts: 2,
+        },
+        Case {
+            name: "smaller",
+            cpu: 3_500,
+            starts: 1,
+        },
+        Case {
+            name: "as much as is in use",
+            cpu: 2_000,
+            starts: 0,
+        },
+        Case {
+            name: "less than is in use",
+            cpu: 1_500,
+            starts: 0,
+        },
+        Case {
+            name: "larger",
+            cpu: 5_000,
+            starts: 3,
+        },
+    ];
+    for case in cases {
+        for gang in [false, true] {
+            let mut sim = Simulation::new(document(None));
+            sim.add_worker(&incarnation("w", 4_000));
+            sim.submit(job(vec![step(1, 2_000)]));
+            assert_eq!(sim.start_tasks().len(), 1, "{}", case.name);
+            sim.heartbeat(&incarnation("w", case.cpu), 2, false);
+            for id in 2..6 {
+                let step = Step {
+                    gang,
+                    ..step(1, 1_000)
+                };
+                sim.submit_to("quick", id, job(vec![step]));
+            }
+            let started = sim.start_tasks().len();
+            assert_eq!(started, case.starts, "{}, gang: {gang}", case.name);
+            let running = sim.state.task(task(0)).and_then(|t| t.worker.as_deref());
+            assert_eq!(running, Some("w"), "{}: its run stays", case.name);
+        }
+    }
+}
+
+/// Guards against log entries of an earlier build, without a sequence number, that cannot be read.
+#[test]
+fn registrations_without_a_sequence_are_read() {
+    let record = serde_json::json!({"join": incarnation("w", 4_000)});
+    let mut sim = Simulation::new(document(None));
+    sim.apply(serde_json::from_value(record).expect("the record is valid"));
+    assert_eq!(sim.state.workers["w"].incarnation, incarnation("w", 4_000));
+    sim.heartbeat(&incarnation("w", 1_000), 1, false);
+    assert_eq!(sim.state.workers["w"].incarnation.resources.cpu, 1_000);
+}
--- a/crates/zinnia-plan/tests/state.rs
+++ b/crates/zinnia-plan/tests/state.rs
@@ -31,7 +31,10 @@
 
 fn simulation(spec: JobSpec) -> Simulation {
     let mut sim = Simulation::new(document(None));
-    sim.apply(Record::AddIncarnation(incarnation("w", 64_000)));
+    sim.apply(Record::AddIncarnation {
+        incarnation: incarnation("w", 64_000),
+        sequence: 1,
+    });
     sim.submit(spec);
     sim
 }
