--- a/crates/zinnia-plan/tests/odd_values.rs
+++ b/crates/zinnia-plan/tests/odd_values.rs
@@ -266,7 +266,10 @@
         let batch = Batch {
             at_ms: 1,
             lease_bound: None,
-            records: vec![Record::AddIncarnation(case.odd.clone())],
+            records: vec![Record::AddIncarnation {
+                incarnation: case.odd.clone(),
+                sequence: u64::MAX,
+            }],
         };
         let text = serde_json::to_string(&batch).expect("it can be encoded");
         let read: Batch = serde_json::from_str(&text).expect("it can be decoded");
