plan, daemon: leases of lost workers and the data folder have files of their own

Tests of leases move to tests/lease.rs, and opening the data folder to data_folder.rs; the fixtures that both test files use move to tests/common. Nothing else changes.

--- a/crates/zinnia-daemon/src/daemon.rs
+++ b/crates/zinnia-daemon/src/daemon.rs
@@ -1,11 +1,9 @@
 //! A running daemon: startup, drain and shutdown.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::OnceLock;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
@@ -39,18 +37,14 @@
 use zinnia_raft::Payload;
 use zinnia_raft::RecoveredState;
 use zinnia_replica::Hooks;
-use zinnia_replica::ReopenFn;
-use zinnia_store::Identity as FolderIdentity;
 use zinnia_store::Store;
-use zinnia_store::StoreOptions;
-use zinnia_types::JobId;
 
 use crate::call_router::CallRouter;
+use crate::data_folder::RecoveredData;
+use crate::data_folder::reopen_hook;
 use crate::engine::Engine;
 use crate::engine::Identity;
 use crate::http;
-use crate::journal::IsolatedJob;
-use crate::journal::Journal;
 use crate::settings::Settings;
 use crate::shared::Replica;
 use crate::shared::Shared;
@@ -242,89 +236,6 @@
     }
 }
 
-/// The contents of the data folder, or a new identity for a VM without one.
-struct RecoveredData {
-    id: zinnia_types::VmId,
-    store: Option<Store>,
-    log: RecoveredState,
-    withdrawn_file: Option<zinnia_store::RecordFile>,
-    withdrawn_ids: Vec<zinnia_cell::KeyId>,
-    journal: Journal,
-    isolated_jobs: BTreeMap<JobId, IsolatedJob>,
-}
-
-impl RecoveredData {
-    fn open(settings: &Settings) -> Result<Self> {
-        let new_identity =
-            FolderIdentity::generate(settings.cell.as_str()).context("generate an identity")?;
-        let Some(folder) = settings.data.as_ref() else {
-            return Ok(Self {
-                id: new_identity.id,
-                store: None,
-                log: RecoveredState::default(),
-                withdrawn_file: None,
-                withdrawn_ids: Vec::new(),
-                journal: Journal::default(),
-                isolated_jobs: BTreeMap::new(),
-            });
-        };
-        let (store, recovered) =
-            Store::open_with(folder, &new_identity, store_options(settings))
-                .with_context(|| format!("open the data folder {}", folder.display()))?;
-        let (file, texts) = store.withdrawn_keys().context("open the withdrawn keys")?;
-        let ids = texts
-            .iter()
-            .map(|t| t.parse().context("read the withdrawn keys"))
-            .collect::<Result<_>>()?;
-        let (jobs, texts) = store
-            .open_records(Journal::FILE_NAME)
-            .context("open the journal of isolated jobs")?;
-        let (journal, isolated_jobs) = Journal::open(jobs, &texts)?;
-        Ok(Self {
-            id: store.identity().id,
-            store: Some(store),
-            log: recovered,
-            withdrawn_file: Some(file),
-            withdrawn_ids: ids,
-            journal,
-            isolated_jobs,
-        })
-    }
-}
-
-fn store_options(settings: &Settings) -> StoreOptions {
-    StoreOptions {
-        disk_hook: settings.disk_hook.as_ref().map(|d| Arc::clone(&d.0)),
-        ..StoreOptions::default()
-    }
-}
-
-/// Returns the callback that opens the data folder again after a disk failure, with its record files,
-/// which may have failed as well. `None` without a data folder.
-fn reopen_hook(shared: &Arc<Shared>) -> Option<ReopenFn> {
-    let folder = shared.settings.data.clone()?;
-    let identity = FolderIdentity {
-        id: shared.id(),
-        cluster: shared.settings.cell.to_string(),
-    };
-    let options = store_options(&shared.settings);
-    let weak = Arc::downgrade(shared);
-    Some(Box::new(move || {
-        let (store, recovered) = Store::open_with(&folder, &identity, options.clone())?;
-        if let Some(shared) = weak.upgrade() {
-            // Locked while the file is read, so that no record is appended meanwhile.
-            let mut withdrawn_file = shared
-                .withdrawn_file
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
-            *withdrawn_file = Some(store.withdrawn_keys()?.0);
-            drop(withdrawn_file);
-            shared.journal.reopen(&store)?;
-        }
-        Ok((store, recovered))
-    }))
-}
-
 fn read_secret(text: &Option<String>, file: &Option<std::path::PathBuf>) -> Result<Option<String>> {
     if text.is_some() {
         return Ok(text.clone());
--- a/crates/zinnia-daemon/src/lib.rs
+++ b/crates/zinnia-daemon/src/lib.rs
@@ -34,6 +34,7 @@
 
 mod apply;
 mod daemon;
+mod data_folder;
 mod http;
 mod join;
 mod leader;
--- a/crates/zinnia-plan/tests/common/mod.rs
+++ b/crates/zinnia-plan/tests/common/mod.rs
@@ -133,6 +133,22 @@
     }
 }
 
+/// Returns the task and the number of the run that an order starts.
+pub(crate) fn run_key(order: &StartOrder) -> (TaskId, u32) {
+    (order.common.task, order.common.run)
+}
+
+/// Returns a simulation with one worker, on which one task is running, and the order that started it.
+pub(crate) fn simulation_with_run() -> (Simulation, StartOrder) {
+    let mut sim = Simulation::new(document(None));
+    sim.add_worker(&incarnation("w", 4_000));
+    sim.submit(job(vec![step(1, 1_000)]));
+    let order = sim.start_tasks().pop().expect("the task is started");
+    let clock_ms = sim.now + WORKER_CLOCK_LEAD_MS;
+    sim.start_answered(&order, &StartOutcome::Accepted { clock_ms });
+    (sim, order)
+}
+
 impl Simulation {
     pub(crate) fn new(document: Document) -> Self {
         let mut sim = Self {
