plan: refused starts on crashed workers count as no crash

Cause: a start order that a crashed worker cannot receive is refused and its run released, but the run was kept as a suspect. When the workers returned, three such runs gave the job up.

Change: a run released within 3 s of its assignment was refused and is no suspect; orders are answered or given up sooner, and leases last longer.

Result: refused_starts_on_crashed_workers_are_no_crashes failed before (Failed instead of Open) and passes, with all other tests of zinnia-plan.

--- a/crates/zinnia-plan/src/crash.rs
+++ b/crates/zinnia-plan/src/crash.rs
@@ -21,6 +21,10 @@
 /// worker have expired, also after a change of the leader, or its next incarnation has registered.
 const MAX_NOTICE_MS: i64 = 30_000;
 
+/// Longest time from the assignment of a run until its start order is answered or given up. A run that
+/// is released earlier was refused and has not begun, while a lease lasts longer.
+const MAX_ORDER_MS: i64 = 3_000;
+
 impl Task {
     /// Whether the current run began so recently that it may still crash its worker.
     pub(crate) fn is_young(&self, at_ms: i64) -> bool {
@@ -66,11 +70,17 @@
         let Some(name) = name else {
             return;
         };
+        let was_refused = self
+            .task(id)
+            .is_none_or(|t| self.at_ms - t.started_ms < MAX_ORDER_MS);
         let is_suspect = self
             .workers
             .get(&name)
             .is_some_and(|w| self.may_have_crashed(w, id, run));
-        if is_suspect && let Some(worker) = self.workers.get_mut(&name) {
+        if !was_refused
+            && is_suspect
+            && let Some(worker) = self.workers.get_mut(&name)
+        {
             worker.released.push((id, run));
         }
     }
--- a/crates/zinnia-plan/tests/crash.rs
+++ b/crates/zinnia-plan/tests/crash.rs
@@ -54,6 +54,28 @@
     sim.apply(Record::Release(list.collect()));
 }
 
+/// Guards against a job that is given up because its start orders reached no worker: workers that had
+/// crashed before refuse them, and return later.
+#[test]
+fn refused_starts_on_crashed_workers_are_no_crashes() {
+    let mut sim = Simulation::new(document(None));
+    let workers = ["u", "v", "w"];
+    for worker in workers {
+        sim.apply(register(reborn(worker, 1)));
+    }
+    sim.submit(job(vec![step(1, 1_000)]));
+    for (run, worker) in (1..).zip(workers) {
+        sim.apply(Record::Start(vec![start(task(0), run, worker, 1)]));
+        sim.now += 150;
+        release(&mut sim, &[(task(0), run)]);
+    }
+    for worker in workers {
+        sim.now += 1_000;
+        sim.apply(register(reborn(worker, 2)));
+    }
+    assert_eq!(status(&sim, 1), Status::Open);
+}
+
 /// Guards against a task that takes one worker after the other out of use: it is started again
 /// however often its worker crashes.
 #[test]
