plan, control: a silent worker with runs is logged when its leases stop being renewed

Cause: `lease_expired` shows a wait only once it is over. Whether a task of a lost worker waits for a lease of this leader or for one of an earlier leader, and how long it will wait, could not be told while it waited.

Change: the event `silent`, once for each silence, with the number of runs, the time since the last message, the longest wait and the age of the term; `zinnia_silent_workers_total`; `lead` shows the lease that the leader inherits. No decision changes.

--- a/crates/zinnia-control/src/leader.rs
+++ b/crates/zinnia-control/src/leader.rs
@@ -16,6 +16,7 @@
 use zinnia_plan::QueryBudget;
 use zinnia_plan::Record;
 use zinnia_plan::Reply;
+use zinnia_plan::SilentWorker;
 use zinnia_plan::StartOrder;
 use zinnia_plan::StartOutcome;
 use zinnia_plan::StepId;
@@ -153,6 +154,7 @@
             term,
             jobs = cell.state.live.len(),
             workers = cell.state.workers.len(),
+            inherited_ms = cell.state.inherited_lease_ms(&context.settings.plan),
             "this process starts to lead"
         );
         let settings = context.settings.plan.clone();
@@ -177,6 +179,9 @@
     plan: Plan,
     starts_pending: &Arc<AtomicBool>,
 ) {
+    for worker in &plan.silent {
+        log_silent_worker(worker);
+    }
     for lease in &plan.expired {
         log_expired_lease(lease);
     }
@@ -211,6 +216,20 @@
     }
 }
 
+fn log_silent_worker(silent: &SilentWorker) {
+    metrics::counter!("zinnia_silent_workers_total").increment(1);
+    tracing::info!(
+        event = "silent",
+        worker = silent.worker,
+        born = silent.born,
+        runs = silent.runs,
+        silent_ms = silent.silent_ms,
+        wait_ms = silent.wait_ms,
+        term_age_ms = silent.term_age_ms,
+        "a worker with runs does not answer; its leases are not renewed any more"
+    );
+}
+
 fn log_expired_lease(lease: &ExpiredLease) {
     metrics::counter!("zinnia_expired_leases_total").increment(1);
     tracing::info!(
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -155,6 +155,7 @@
             self.last_check = Some(now);
             self.update_views(state, now);
             self.update_urgent_teams(state, now);
+            self.report_silent(state, now, &mut plan);
             self.expire_leases(state, now, &mut plan);
             self.stop_runs(state, now, &mut plan);
             self.decisions
--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -59,6 +59,7 @@
 pub use plan::Poll;
 pub use plan::RunOrder;
 pub use plan::Settings;
+pub use plan::SilentWorker;
 pub use plan::StartOrder;
 pub use plan::StartOutcome;
 pub use policy::PolicyQuery;
--- a/crates/zinnia-plan/src/plan.rs
+++ b/crates/zinnia-plan/src/plan.rs
@@ -129,6 +129,23 @@
     pub ticket: String,
 }
 
+/// A worker with runs that does not answer, so that its leases are not renewed any more.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SilentWorker {
+    /// Name of the worker.
+    pub worker: String,
+    /// Start time of the worker's incarnation.
+    pub born: i64,
+    /// Number of runs that are assigned to it.
+    pub runs: usize,
+    /// Time since the worker's last message to this leader; `None` without any.
+    pub silent_ms: Option<u64>,
+    /// Longest time until its leases have expired.
+    pub wait_ms: u64,
+    /// Time since this leader's term began.
+    pub term_age_ms: u64,
+}
+
 /// A worker whose runs are released because its leases have expired.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ExpiredLease {
@@ -161,6 +178,8 @@
     pub polls: Vec<Poll>,
     /// Runs to stop.
     pub stops: Vec<RunOrder>,
+    /// Workers with runs that have stopped answering.
+    pub silent: Vec<SilentWorker>,
     /// Workers whose leases have expired; `records` releases their runs.
     pub expired: Vec<ExpiredLease>,
 }
--- a/crates/zinnia-plan/src/runs.rs
+++ b/crates/zinnia-plan/src/runs.rs
@@ -7,6 +7,7 @@
 use crate::Plan;
 use crate::Record;
 use crate::RunOrder;
+use crate::SilentWorker;
 use crate::State;
 use crate::Status;
 use crate::Task;
@@ -14,6 +15,24 @@
 use crate::worker_view::current_workers;
 
 impl Leader {
+    /// Reports workers with runs that have stopped answering, once for each silence.
+    pub(crate) fn report_silent(&mut self, state: &State, now: Time, plan: &mut Plan) {
+        for (name, view, worker) in current_workers(&mut self.views, state) {
+            let is_silent = view.failed_calls > 0 && !worker.runs.is_empty();
+            if is_silent && !view.reported_silent && !view.lease_expired {
+                plan.silent.push(SilentWorker {
+                    worker: name.to_owned(),
+                    born: view.born,
+                    runs: worker.runs.len(),
+                    silent_ms: view.silent_ms(now),
+                    wait_ms: view.remaining_lease_ms(now),
+                    term_age_ms: now.since(self.term_start),
+                });
+            }
+            view.reported_silent = is_silent;
+        }
+    }
+
     /// Releases the runs of workers whose leases have certainly expired.
     pub(crate) fn expire_leases(&mut self, state: &State, now: Time, plan: &mut Plan) {
         for (name, view, worker) in current_workers(&mut self.views, state) {
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -13,6 +13,7 @@
 use crate::Step;
 use crate::TaskId;
 use crate::Worker;
+use crate::lease;
 use crate::lease::CLOCK_MARGIN_MS;
 use crate::lease::MAX_CLOCK_LAG_PERCENT;
 use crate::worker_index::WorkerIndex;
@@ -132,6 +133,8 @@
     /// Whether the runs were released after the lease expired, and the worker has not answered
     /// since.
     pub(crate) lease_expired: bool,
+    /// Whether it was reported that the worker does not answer.
+    pub(crate) reported_silent: bool,
     /// Time of the latest answer or heartbeat.
     pub(crate) last_heard: Time,
     /// Sequence number of the latest heartbeat, and when it arrived.
@@ -177,6 +180,7 @@
             inherited_lease_ms,
             inherited_until,
             lease_expired: false,
+            reported_silent: false,
             last_heard: Time(0),
             sequence: (0, Time(0)),
             resources: None,
@@ -262,6 +266,18 @@
         self.max_deadline = self.max_deadline.max(clock_ms);
     }
 
+    /// Longest time until every lease that the worker may have received has expired.
+    pub(crate) fn remaining_lease_ms(&self, now: Time) -> u64 {
+        if self.confirmed_fence == 0 && now < self.inherited_until {
+            return self.inherited_until.since(now);
+        }
+        let Some(clock) = self.min_clock(now) else {
+            return 0;
+        };
+        let remaining_ms = self.max_deadline.saturating_sub(clock);
+        lease::max_duration_ms(remaining_ms)
+    }
+
     /// Whether every lease that the worker may have received has expired.
     pub(crate) fn leases_expired(&self, now: Time) -> bool {
         if now < self.inherited_until && self.confirmed_fence == 0 {
--- a/crates/zinnia-plan/tests/lease.rs
+++ b/crates/zinnia-plan/tests/lease.rs
@@ -256,3 +256,24 @@
         assert_eq!(bound, case.expected_ms, "{}", case.name);
     }
 }
+
+/// Guards against a silence that no log line shows, or that each pass reports again.
+#[test]
+fn silence_is_reported_once() {
+    let (mut sim, order) = simulation_with_run();
+    let mut poll = sim.plan().polls.remove(0);
+    for silence in 1..=2 {
+        let mut reported = 0;
+        for _ in 0..4 {
+            sim.poll_failed(&poll);
+            let mut plan = sim.plan_after(500);
+            reported += plan.silent.len();
+            poll = plan.polls.remove(0);
+        }
+        assert_eq!(reported, 1, "silence {silence}");
+        sim.report(&poll, &[run_key(&order)], Vec::new());
+        let mut plan = sim.plan_after(100);
+        assert_eq!(plan.silent, [], "the worker answers");
+        poll = plan.polls.remove(0);
+    }
+}
