plan: a start order to a lost worker extends no lease

Callers saw nothing yet. A worker counts as silent after up to 2.6 s, and a start that is ordered until then carried a deadline of its own time of sending plus the lease. So all tasks of a lost worker waited up to 2.6 s longer: 2.6 + 7.48 s leave nothing of the 10 s in which a lasting task must run again.

Change: leases count from the latest reading of the worker's clock, at most from the start of the pass, instead of from the time of sending. Polls follow each other's answers, so a renewal counts from nearly the same time as before.

--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -123,6 +123,8 @@
     pub(crate) confirmed_fence: u64,
     /// Latest reading of the worker's clock, and the time by which it was taken.
     clock: Option<(u64, Time)>,
+    /// Highest reading of the worker's clock, and when it arrived. Leases count from it.
+    last_reading: Option<(u64, Time)>,
     /// Latest lease deadline, on the worker's clock, that may have been delivered to the worker.
     max_deadline: u64,
     /// Longest lease that the worker may have received from an earlier leader, or from a delayed
@@ -176,6 +178,7 @@
             fence,
             confirmed_fence: 0,
             clock: None,
+            last_reading: None,
             max_deadline: 0,
             inherited_lease_ms,
             inherited_until,
@@ -226,6 +229,9 @@
         if self.min_clock(now).is_none_or(|known| clock_ms > known) {
             self.clock = Some((clock_ms, now));
         }
+        if self.last_reading.is_none_or(|(last, _)| clock_ms > last) {
+            self.last_reading = Some((clock_ms, now));
+        }
     }
 
     /// Records the reading of the worker's clock in a heartbeat that arrived at `now`.
@@ -250,12 +256,13 @@
         Some(clock.saturating_add(passed - lag))
     }
 
-    /// Returns the deadline, on the worker's clock, of a lease that lasts for `lease_ms` from now.
-    /// `None` if the clock is unknown.
+    /// Returns the deadline, on the worker's clock, of a lease that lasts for `lease_ms` from the
+    /// latest reading of that clock, and from `now` at most. `None` if the clock is unknown.
+    ///
+    /// A lease that counted from the time of sending would let an order to a lost worker delay the
+    /// next start of its tasks.
     pub(crate) fn deadline(&mut self, lease_ms: u64, now: Time) -> Option<u64> {
-        let (clock, at) = self.clock?;
-        // A reading may be newer than `now`; the lease still counts from `now`.
-        let clock = clock.saturating_add(now.since(at));
+        let (clock, at) = self.last_reading?;
         let deadline = clock.saturating_sub(at.since(now)).saturating_add(lease_ms);
         self.max_deadline = self.max_deadline.max(deadline);
         Some(deadline)
--- a/crates/zinnia-plan/tests/lease.rs
+++ b/crates/zinnia-plan/tests/lease.rs
@@ -16,6 +16,11 @@
 use zinnia_plan::lease_bound_ms;
 use zinnia_types::Time;
 
+/// A task that is to last runs again within this time of the last loss.
+const RESTART_MS: u64 = 10_000;
+/// What the election of a new leader and the start of the task take of it.
+const ELECTION_AND_START_MS: u64 = 2_000;
+
 /// Guards against a new leader that releases the runs of a worker right after the worker's first
 /// answer. The first poll renews no lease, since the leader does not know the worker's clock yet,
 /// so the lease of the earlier leader must count.
@@ -67,10 +72,6 @@
 /// Guards against tasks of a lost worker that start elsewhere too late after a change of the leader.
 #[test]
 fn runs_of_lost_worker_restart_in_time_after_leader_change() {
-    /// A task that is to last runs again within this time of the loss of the leader.
-    const RESTART_MS: u64 = 10_000;
-    /// What the election of the new leader and the start of the task take of it.
-    const ELECTION_AND_START_MS: u64 = 2_000;
     struct Case {
         name: &'static str,
         /// How long before the change of the leader the worker is lost.
@@ -277,3 +278,25 @@
         poll = plan.polls.remove(0);
     }
 }
+
+/// Guards against a start order that extends the lease of a worker which is already lost.
+#[test]
+fn start_order_to_lost_worker_extends_no_lease() {
+    let (mut sim, _) = simulation_with_run();
+    let lost_ms = sim.now;
+    let poll = sim.plan().polls.remove(0);
+    sim.submit_to("quick", 2, job(vec![step(1, 1_000)]));
+    sim.now += 2_000;
+    let order = sim.start_tasks().pop().expect("the silence is not noticed");
+    sim.poll_failed(&poll);
+    sim.start_answered(&order, &StartOutcome::Unknown);
+    sim.wait_for_release().expect("the runs are released");
+    let lease_ms = Settings::default().lease_ms;
+    let after = sim.now - lost_ms;
+    assert!(after > lease_ms * 100 / 98, "released after {after} ms");
+    assert!(
+        after <= RESTART_MS - ELECTION_AND_START_MS,
+        "released {after} ms after the worker was lost"
+    );
+    assert!(sim.state.task(order.common.task).unwrap().worker.is_none());
+}
