plan, control: a change of the leader does not restart the wait for the leases of a silent worker

What callers saw: a lasting task of a lost worker that did not run again within contactMs + 7 s of the last disruption (LOST), when the leader changed after the worker was lost.

Cause: a new leader knew nothing of the silence of a worker before its term, so that its wait for the leases of lost workers began anew. Each further change of the leader, also one that no disruption explains, added up to one lease. The class: a timeout that starts anew when a process takes over, because what it counts from is known to the process before alone.

Change: an entry lists the workers whose leases the leader stopped to renew, and a leader resumes only after an entry says so (or starts a run there). Each member keeps when it applied the entry, on its own clock, which is after the last renewal; a new leader counts from there. A new leader begins with an entry for all workers with runs, since it has renewed nothing yet, so that a second change right after the first one does not add a lease either. Entries of an earlier build, and those proposed in an earlier term, count for nothing.

--- a/crates/zinnia-control/src/context.rs
+++ b/crates/zinnia-control/src/context.rs
@@ -15,6 +15,7 @@
 use zinnia_plan::Leader;
 use zinnia_plan::RelayedHeartbeat;
 use zinnia_plan::Reply;
+use zinnia_plan::SilenceTimes;
 use zinnia_plan::StartOrder;
 use zinnia_plan::State;
 use zinnia_raft::Node;
@@ -34,6 +35,8 @@
 #[derive(Default)]
 pub(crate) struct CellState {
     pub(crate) state: State,
+    /// When this member learned of silent workers.
+    pub(crate) silences: SilenceTimes,
     pub(crate) leader: Option<Leader>,
     /// Jobs whose submission was proposed in this term and has no outcome yet.
     pub(crate) open_submits: BTreeSet<JobId>,
@@ -41,6 +44,14 @@
     pub(crate) policy_clients: BTreeMap<String, PolicyClient>,
 }
 
+impl CellState {
+    /// Replaces the replicated state by one from a snapshot.
+    pub(crate) fn restore(&mut self, state: State) {
+        self.state = state;
+        self.silences.clear();
+    }
+}
+
 /// A process that can query the placement policy.
 #[derive(Clone, Debug)]
 pub(crate) struct PolicyClient {
--- a/crates/zinnia-control/src/leader.rs
+++ b/crates/zinnia-control/src/leader.rs
@@ -10,6 +10,7 @@
 use zinnia_plan::Batch;
 use zinnia_plan::ExpiredLease;
 use zinnia_plan::Leader;
+use zinnia_plan::LeaseChanges;
 use zinnia_plan::Plan;
 use zinnia_plan::PolicyQuery;
 use zinnia_plan::Poll;
@@ -55,6 +56,15 @@
     context: &MemberContext,
     records: Vec<Record>,
     limit: Duration,
+) -> Option<ProposalOutcome<Vec<Reply>>> {
+    propose_batch(context, records, LeaseChanges::default(), limit).await
+}
+
+async fn propose_batch(
+    context: &MemberContext,
+    records: Vec<Record>,
+    lease_changes: LeaseChanges,
+    limit: Duration,
 ) -> Option<ProposalOutcome<Vec<Reply>>> {
     let lease_bound = {
         let cell = context.cell_state();
@@ -64,6 +74,7 @@
     let batch = Batch {
         at_ms: clock::wall_ms(),
         lease_bound: Some(lease_bound),
+        lease_changes: Some(lease_changes),
         records,
     };
     let text = match serde_json::to_string(&batch) {
@@ -160,7 +171,13 @@
         let settings = context.settings.plan.clone();
         // `now` may be before the term, and leases of earlier leaders count from its start.
         let term_start = clock::now();
-        cell.leader = Some(Leader::new(settings, term, &cell.state, term_start));
+        cell.leader = Some(Leader::new(
+            settings,
+            term,
+            &cell.state,
+            &cell.silences,
+            term_start,
+        ));
         starts_pending.store(false, Ordering::Relaxed);
     }
     let leader = cell.leader.as_mut()?;
@@ -185,8 +202,8 @@
     for lease in &plan.expired {
         log_expired_lease(lease);
     }
-    if !plan.records.is_empty() {
-        propose_in_background(context, plan.records);
+    if !plan.records.is_empty() || !plan.lease_changes.is_empty() {
+        propose_in_background(context, plan.records, plan.lease_changes);
     }
     if !plan.starts.is_empty() {
         starts_pending.store(true, Ordering::Relaxed);
@@ -244,10 +261,15 @@
 }
 
 /// Proposes records without waiting for the result, which shows in the state.
-fn propose_in_background(context: &Arc<MemberContext>, records: Vec<Record>) {
+fn propose_in_background(
+    context: &Arc<MemberContext>,
+    records: Vec<Record>,
+    lease_changes: LeaseChanges,
+) {
     let context = Arc::clone(context);
     tokio::spawn(async move {
-        if propose(&context, records, PROPOSE_TIMEOUT).await.is_none() {
+        let proposal = propose_batch(&context, records, lease_changes, PROPOSE_TIMEOUT);
+        if proposal.await.is_none() {
             tracing::warn!(event = "record", "outcome of a proposal is unknown");
         }
     });
@@ -295,7 +317,7 @@
                 .and_then(|l| l.start_answered(&run_order, &outcome, now))
         };
         if let Some(record) = new_record {
-            propose_in_background(&context, vec![record]);
+            propose_in_background(&context, vec![record], LeaseChanges::default());
         }
         if outcome == StartOutcome::Unknown {
             context.plan_wakeup.notify_one();
@@ -318,7 +340,7 @@
             }
         };
         if !records.is_empty() {
-            propose_in_background(&context, records);
+            propose_in_background(&context, records, LeaseChanges::default());
         }
         context.plan_wakeup.notify_one();
     });
--- a/crates/zinnia-control/src/log_hooks.rs
+++ b/crates/zinnia-control/src/log_hooks.rs
@@ -123,7 +123,7 @@
         return;
     };
     if snapshot.data.is_empty() {
-        context.cell_state().state = zinnia_plan::State::default();
+        context.cell_state().restore(zinnia_plan::State::default());
         return;
     }
     match serde_json::from_str(snapshot.data.as_str()) {
@@ -133,7 +133,7 @@
                 index = snapshot.index,
                 "restored the state from a snapshot"
             );
-            context.cell_state().state = state;
+            context.cell_state().restore(state);
         }
         Err(error) => {
             tracing::error!(step = "restore", index = snapshot.index, %error, "cannot decode the snapshot");
@@ -146,19 +146,25 @@
     let Payload::Data(data) = &entry.payload else {
         return None;
     };
-    let batch: Batch = match serde_json::from_str(data.as_str()) {
+    let mut batch: Batch = match serde_json::from_str(data.as_str()) {
         Ok(batch) => batch,
         Err(error) => {
             tracing::error!(step = "apply", index = entry.index, %error, "cannot decode the log entry");
             return None;
         }
     };
+    batch.drop_outdated(entry.term);
     let now = clock::now();
     let mut cell = context.cell_state();
+    let cell = &mut *cell;
     let replies = cell.state.apply(&batch);
+    cell.silences.applied(&cell.state, now);
+    if let (Some(leader), Some(changes)) = (cell.leader.as_mut(), &batch.lease_changes) {
+        leader.lease_changes_applied(changes, now);
+    }
     if cell.leader.is_some() {
         for (record, reply) in batch.records.iter().zip(&replies) {
-            run_follow_ups(&context, &mut cell, record, reply, now);
+            run_follow_ups(&context, cell, record, reply, now);
         }
         context.plan_wakeup.notify_one();
         context.job_progress.notify_waiters();
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -5,10 +5,12 @@
 use zinnia_types::Time;
 
 use crate::Backlog;
+use crate::LeaseChanges;
 use crate::Plan;
 use crate::PolicyQuery;
 use crate::QueryBudget;
 use crate::Settings;
+use crate::SilenceTimes;
 use crate::State;
 use crate::headroom::UrgentTeams;
 use crate::lease;
@@ -22,6 +24,9 @@
     pub(crate) settings: Settings,
     /// Longest lease that earlier leaders may have granted.
     inherited_lease_ms: u64,
+    /// Until when the leases of silent workers may last, with their incarnation.
+    lease_ends: BTreeMap<String, (i64, Time)>,
+    pub(crate) term: u64,
     /// First fencing token of this term; the tokens of earlier terms are lower.
     base_fence: u64,
     pub(crate) term_start: Time,
@@ -48,11 +53,19 @@
 
 impl Leader {
     /// Creates the state of a leader whose term begins at `now`; `state` is what earlier leaders have
-    /// left.
-    pub fn new(settings: Settings, term: u64, state: &State, now: Time) -> Self {
+    /// left, `silences` when this member learned of silent workers.
+    pub fn new(
+        settings: Settings,
+        term: u64,
+        state: &State,
+        silences: &SilenceTimes,
+        now: Time,
+    ) -> Self {
         Self {
             inherited_lease_ms: state.inherited_lease_ms(&settings),
+            lease_ends: silences.lease_ends(state),
             settings,
+            term,
             base_fence: term * FENCES_PER_TERM,
             term_start: now,
             views: BTreeMap::new(),
@@ -107,7 +120,13 @@
             true => max_lease_ms,
             false => self.inherited_lease_ms,
         };
-        let until = self.term_start.after(lease::max_duration_ms(inherited_ms));
+        let mut until = self.term_start.after(lease::max_duration_ms(inherited_ms));
+        if let Some((silent_born, lease_end)) = self.lease_ends.get(worker)
+            && *silent_born == born
+            && !replaced
+        {
+            until = until.min(*lease_end);
+        }
         let view = self
             .views
             .entry(worker.to_owned())
@@ -146,6 +165,10 @@
     ) -> Plan {
         let mut plan = Plan {
             query_budget,
+            lease_changes: LeaseChanges {
+                term: self.term,
+                ..LeaseChanges::default()
+            },
             ..Plan::default()
         };
         if self
@@ -157,6 +180,7 @@
             self.update_urgent_teams(state, now);
             self.report_silent(state, now, &mut plan);
             self.expire_leases(state, now, &mut plan);
+            self.stop_renewals(state, now, &mut plan);
             self.stop_runs(state, now, &mut plan);
             self.decisions
                 .retain(|step, _| state.live.contains(&step.job));
@@ -173,6 +197,11 @@
         plan
     }
 
+    /// Term of this leader.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
     /// Number of workers that have not shut down.
     pub fn worker_count(&self) -> usize {
         self.views.len()
--- a/crates/zinnia-plan/src/orders.rs
+++ b/crates/zinnia-plan/src/orders.rs
@@ -31,7 +31,11 @@
         if view.born != start.born {
             return None;
         }
-        let deadline_ms = view.deadline(lease, now)?;
+        let deadline_ms = match view.stop_proposed {
+            // The order must not renew the lease after the entry was proposed.
+            Some(_) => view.granted_deadline()?,
+            None => view.deadline(lease, now)?,
+        };
         // The release of earlier runs does not include this one.
         view.lease_expired = false;
         let order = SentOrder {
--- a/crates/zinnia-plan/src/plan.rs
+++ b/crates/zinnia-plan/src/plan.rs
@@ -2,6 +2,7 @@
 
 use zinnia_types::Time;
 
+use crate::LeaseChanges;
 use crate::PolicyQuery;
 use crate::QueryBudget;
 use crate::Record;
@@ -178,6 +179,8 @@
     pub polls: Vec<Poll>,
     /// Runs to stop.
     pub stops: Vec<RunOrder>,
+    /// Workers whose leases are renewed no more, or again; to be proposed to the log.
+    pub lease_changes: LeaseChanges,
     /// Workers with runs that have stopped answering.
     pub silent: Vec<SilentWorker>,
     /// Workers whose leases have expired; `records` releases their runs.
--- a/crates/zinnia-plan/src/polls.rs
+++ b/crates/zinnia-plan/src/polls.rs
@@ -23,6 +23,7 @@
     pub(crate) fn poll_workers(&mut self, state: &State, now: Time, plan: &mut Plan) {
         let lease = self.grant_ms(state);
         let wait = self.settings.poll_wait_ms;
+        let retry_ms = self.settings.retry_ms;
         let mut idle_polls = self.views.values().filter(|v| v.has_open_idle_poll).count();
         for (name, view, worker) in current_workers(&mut self.views, state) {
             if view.open_poll.is_some() || now < view.next_poll {
@@ -33,14 +34,22 @@
             if is_idle && (!unconfirmed || idle_polls >= self.settings.max_idle_polls) {
                 continue;
             }
+            let answers = view.failed_calls == 0 && view.knows_clock();
+            if worker.silence.is_some() && answers && !is_idle {
+                // The next poll renews the lease, which must be in the log before.
+                view.next_poll = now.after(retry_ms);
+                plan.lease_changes.resumed.push(name.to_owned());
+                continue;
+            }
             idle_polls += usize::from(is_idle);
             view.has_open_idle_poll = is_idle;
             view.open_poll = Some(now);
             // A poll without an answer may still have renewed the lease. After a failure the polls
             // request no renewal, since otherwise the lease could never be known to have expired.
-            let deadline_ms = match view.failed_calls {
-                0 => view.deadline(lease, now),
-                _ => None,
+            let may_renew = view.failed_calls == 0 && view.stop_proposed.is_none();
+            let deadline_ms = match may_renew {
+                true => view.deadline(lease, now),
+                false => None,
             };
             plan.polls.push(Poll {
                 worker: name.to_owned(),
--- a/crates/zinnia-plan/src/record.rs
+++ b/crates/zinnia-plan/src/record.rs
@@ -18,11 +18,48 @@
     /// not know it.
     #[serde(rename = "lease", default, skip_serializing_if = "Option::is_none")]
     pub lease_bound: Option<u64>,
+    /// Workers whose leases the leader stops or resumes to renew; `None` from a build that does not
+    /// tell.
+    #[serde(rename = "renewals", default, skip_serializing_if = "Option::is_none")]
+    pub lease_changes: Option<LeaseChanges>,
     /// Records, applied in this order.
     #[serde(rename = "list")]
     pub records: Vec<Record>,
 }
 
+impl Batch {
+    /// Drops what no longer holds in the term of the entry. A leader that was elected again may have
+    /// renewed leases since it proposed to stop.
+    pub fn drop_outdated(&mut self, term: u64) {
+        if let Some(changes) = &mut self.lease_changes
+            && changes.term != term
+        {
+            changes.stopped.clear();
+        }
+    }
+}
+
+/// Workers whose leases the leader stops or resumes to renew.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LeaseChanges {
+    /// Term of the leader.
+    pub term: u64,
+    /// Workers whose leases the leader has not renewed since it proposed this, and will not renew
+    /// until an entry lists them in `resumed` or assigns a run to them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub stopped: Vec<String>,
+    /// Workers whose leases may be renewed again.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub resumed: Vec<String>,
+}
+
+impl LeaseChanges {
+    /// Whether no worker is listed.
+    pub fn is_empty(&self) -> bool {
+        self.stopped.is_empty() && self.resumed.is_empty()
+    }
+}
+
 /// A change to the replicated state.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -19,6 +19,7 @@
 use crate::Reply;
 use crate::Resources;
 use crate::Settings;
+use crate::Silence;
 use crate::Start;
 use crate::Status;
 use crate::Step;
@@ -45,6 +46,9 @@
     /// epoch; `None` if it did not.
     #[serde(rename = "replaced", default)]
     pub replaced_ms: Option<i64>,
+    /// Since when its leases are not renewed; `None` if they may be.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub silence: Option<Silence>,
     /// Whether the incarnation is about to shut down and gets no new tasks.
     pub draining: bool,
     /// Whether the incarnation has ended.
@@ -78,6 +82,9 @@
     /// does not contain it.
     #[serde(rename = "lease", default)]
     pub lease_bound: Option<u64>,
+    /// Number of entries that stopped the renewal of leases.
+    #[serde(default)]
+    pub silences: u64,
     /// Text of the current document as received.
     pub raw: String,
     /// The current document.
@@ -103,6 +110,7 @@
     pub fn apply(&mut self, batch: &Batch) -> Vec<Reply> {
         self.at_ms = self.at_ms.max(batch.at_ms);
         self.lease_bound = batch.lease_bound;
+        self.apply_lease_changes(batch);
         let replies = batch.records.iter().map(|r| self.apply_record(r)).collect();
         self.remove_expired();
         replies
@@ -387,6 +395,8 @@
             worker.best_effort += counts.0;
             worker.services += counts.1;
             worker.last_start_ms = at;
+            // The order of the start contains a lease.
+            worker.silence = None;
             // The worker has answered since the runs were released.
             worker.released.clear();
         }
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -135,6 +135,8 @@
     /// Whether the runs were released after the lease expired, and the worker has not answered
     /// since.
     pub(crate) lease_expired: bool,
+    /// When an entry was proposed that stops the renewal of its leases, until it is applied.
+    pub(crate) stop_proposed: Option<Time>,
     /// Whether it was reported that the worker does not answer.
     pub(crate) reported_silent: bool,
     /// Time of the latest answer or heartbeat.
@@ -183,6 +185,7 @@
             inherited_lease_ms,
             inherited_until,
             lease_expired: false,
+            stop_proposed: None,
             reported_silent: false,
             last_heard: Time(0),
             sequence: (0, Time(0)),
@@ -256,6 +259,16 @@
         Some(clock.saturating_add(passed - lag))
     }
 
+    /// Whether the worker has told its clock, without which it gets no lease.
+    pub(crate) fn knows_clock(&self) -> bool {
+        self.last_reading.is_some()
+    }
+
+    /// Latest deadline that may have been delivered to the worker; `None` without any.
+    pub(crate) fn granted_deadline(&self) -> Option<u64> {
+        (self.max_deadline > 0).then_some(self.max_deadline)
+    }
+
     /// Returns the deadline, on the worker's clock, of a lease that lasts for `lease_ms` from the
     /// latest reading of that clock, and from `now` at most. `None` if the clock is unknown.
     ///
--- a/crates/zinnia-plan/tests/common/mod.rs
+++ b/crates/zinnia-plan/tests/common/mod.rs
@@ -8,6 +8,8 @@
 )]
 #![expect(dead_code, reason = "each test file uses only a part of this module")]
 
+use std::mem;
+
 use zinnia_plan::ActiveRun;
 use zinnia_plan::Batch;
 use zinnia_plan::Document;
@@ -17,6 +19,7 @@
 use zinnia_plan::Incarnation;
 use zinnia_plan::JobSpec;
 use zinnia_plan::Leader;
+use zinnia_plan::LeaseChanges;
 use zinnia_plan::Plan;
 use zinnia_plan::Policy;
 use zinnia_plan::Poll;
@@ -28,6 +31,7 @@
 use zinnia_plan::Report;
 use zinnia_plan::Resources;
 use zinnia_plan::Settings;
+use zinnia_plan::SilenceTimes;
 use zinnia_plan::Start;
 use zinnia_plan::StartOrder;
 use zinnia_plan::StartOutcome;
@@ -51,6 +55,7 @@
 pub(crate) struct Simulation {
     pub(crate) state: State,
     pub(crate) leader: Leader,
+    pub(crate) silences: SilenceTimes,
     pub(crate) now: u64,
 }
 
@@ -153,7 +158,14 @@
     pub(crate) fn new(document: Document) -> Self {
         let mut sim = Self {
             state: State::default(),
-            leader: Leader::new(Settings::default(), 1, &State::default(), Time(1_000)),
+            leader: Leader::new(
+                Settings::default(),
+                1,
+                &State::default(),
+                &SilenceTimes::default(),
+                Time(1_000),
+            ),
+            silences: SilenceTimes::default(),
             now: 1_000,
         };
         sim.apply(Record::Document {
@@ -164,12 +176,38 @@
     }
 
     pub(crate) fn apply(&mut self, record: Record) -> Vec<Reply> {
+        self.apply_batch(vec![record], LeaseChanges::default())
+    }
+
+    /// Applies a log entry of the current leader, which learns of it.
+    pub(crate) fn apply_batch(
+        &mut self,
+        records: Vec<Record>,
+        lease_changes: LeaseChanges,
+    ) -> Vec<Reply> {
+        let now = Time(self.now);
         let batch = Batch {
             at_ms: i64::try_from(self.now).unwrap(),
-            lease_bound: Some(self.leader.lease_bound_ms(Time(self.now))),
-            records: vec![record],
+            lease_bound: Some(self.leader.lease_bound_ms(now)),
+            lease_changes: Some(lease_changes),
+            records,
         };
-        self.state.apply(&batch)
+        let replies = self.state.apply(&batch);
+        self.silences.applied(&self.state, now);
+        if let Some(changes) = &batch.lease_changes {
+            self.leader.lease_changes_applied(changes, now);
+        }
+        replies
+    }
+
+    /// Plans, and applies the changes of leases as one entry.
+    pub(crate) fn plan_and_tell(&mut self) -> Plan {
+        let mut plan = self.plan();
+        let changes = mem::take(&mut plan.lease_changes);
+        if !changes.is_empty() {
+            self.apply_batch(Vec::new(), changes);
+        }
+        plan
     }
 
     pub(crate) fn submit(&mut self, spec: JobSpec) {
@@ -263,7 +301,8 @@
 
     /// Replaces the leader by one whose term begins now.
     pub(crate) fn change_leader(&mut self, term: u64) {
-        self.leader = Leader::new(Settings::default(), term, &self.state, Time(self.now));
+        let (settings, now) = (Settings::default(), Time(self.now));
+        self.leader = Leader::new(settings, term, &self.state, &self.silences, now);
     }
 
     /// Plans every 100 ms without any answer of a worker until runs are released. Returns the time
--- a/crates/zinnia-plan/tests/lease.rs
+++ b/crates/zinnia-plan/tests/lease.rs
@@ -300,3 +300,61 @@
     );
     assert!(sim.state.task(order.common.task).unwrap().worker.is_none());
 }
+
+/// Guards against a wait for the leases of a lost worker that starts anew with each leader.
+#[test]
+fn changes_of_the_leader_do_not_restart_the_wait() {
+    struct Case {
+        name: &'static str,
+        /// Times of the changes after the loss of the worker.
+        changes_ms: &'static [u64],
+    }
+    let cases = [
+        Case {
+            name: "leader lost long after the worker",
+            changes_ms: &[6_200],
+        },
+        Case {
+            name: "leader lost twice",
+            changes_ms: &[3_000, 6_500],
+        },
+        Case {
+            name: "leader lost with the worker, and again before a poll failed",
+            changes_ms: &[100, 1_500],
+        },
+        Case {
+            name: "a leader for each second",
+            changes_ms: &[1_000, 2_000, 3_000, 4_000, 5_000, 6_000, 7_000],
+        },
+    ];
+    for case in cases {
+        let (mut sim, _) = simulation_with_run();
+        let lost_ms = sim.now;
+        let mut changes = case.changes_ms.iter().enumerate().peekable();
+        while sim.state.task(task(0)).unwrap().worker.is_some() {
+            sim.now += 100;
+            if let Some((n, _)) = changes.next_if(|(_, at)| lost_ms + **at <= sim.now) {
+                sim.change_leader(2 + n as u64);
+            }
+            let plan = sim.plan_and_tell();
+            for poll in &plan.polls {
+                sim.poll_failed(poll);
+            }
+            for record in plan.records {
+                sim.apply(record);
+            }
+            assert!(sim.now < lost_ms + 60_000, "{}: never released", case.name);
+        }
+        let after = sim.now - lost_ms;
+        assert!(
+            after <= RESTART_MS - ELECTION_AND_START_MS,
+            "{}: released {after} ms after the loss",
+            case.name
+        );
+        assert!(
+            after > Settings::default().lease_ms * 100 / 98,
+            "{}: released {after} ms after the last lease was granted",
+            case.name
+        );
+    }
+}
--- a/crates/zinnia-plan/tests/odd_values.rs
+++ b/crates/zinnia-plan/tests/odd_values.rs
@@ -266,6 +266,7 @@
         let batch = Batch {
             at_ms: 1,
             lease_bound: None,
+            lease_changes: None,
             records: vec![Record::AddIncarnation {
                 incarnation: case.odd.clone(),
                 sequence: u64::MAX,
--- /dev/null
+++ b/crates/zinnia-plan/tests/silence.rs
@@ -0,0 +1,182 @@
+//! Which leases a new leader awaits after earlier leaders stopped to renew some.
+
+mod common;
+
+use common::Simulation;
+use common::incarnation;
+use common::job;
+use common::run_key;
+use common::simulation_with_run;
+use common::step;
+use zinnia_plan::Batch;
+use zinnia_plan::Incarnation;
+use zinnia_plan::LeaseChanges;
+use zinnia_plan::Record;
+use zinnia_plan::Settings;
+use zinnia_plan::StartOutcome;
+
+/// Time from the entry that stopped the renewal until the leader is replaced.
+const SILENT_MS: u64 = 3_000;
+
+fn changes(term: u64, stopped: &[&str], resumed: &[&str]) -> LeaseChanges {
+    let names = |list: &[&str]| list.iter().map(|&name| name.to_owned()).collect();
+    LeaseChanges {
+        term,
+        stopped: names(stopped),
+        resumed: names(resumed),
+    }
+}
+
+/// Guards against a new leader that counts a silence which is over, or which it does not know for
+/// certain, so that a task runs twice.
+#[test]
+fn only_a_lasting_silence_shortens_the_wait() {
+    struct Case {
+        name: &'static str,
+        /// What happens between the entry that stops the renewal and the change of the leader.
+        event: fn(&mut Simulation),
+        /// Whether the wait counts from the entry.
+        counts: bool,
+    }
+    let cases = [
+        Case {
+            name: "silent until the change",
+            event: |_| {},
+            counts: true,
+        },
+        Case {
+            name: "listed again",
+            event: |sim| {
+                sim.now += 1_000;
+                sim.apply_batch(Vec::new(), changes(1, &["w"], &[]));
+            },
+            counts: true,
+        },
+        Case {
+            name: "renewal resumed",
+            event: |sim| {
+                sim.apply_batch(Vec::new(), changes(1, &[], &["w"]));
+            },
+            counts: false,
+        },
+        Case {
+            name: "a further run was started",
+            event: |sim| {
+                sim.submit_to("quick", 2, job(vec![step(1, 1_000)]));
+                let order = sim.start_tasks().pop().expect("a task is started");
+                sim.start_answered(&order, &StartOutcome::Unknown);
+            },
+            counts: false,
+        },
+        Case {
+            name: "an entry of an earlier build",
+            event: |sim| {
+                let batch = Batch {
+                    at_ms: 1_000,
+                    lease_bound: Some(Settings::default().lease_ms),
+                    ..Batch::default()
+                };
+                sim.state.apply(&batch);
+            },
+            counts: false,
+        },
+        Case {
+            name: "state from a snapshot",
+            event: |sim| sim.silences.clear(),
+            counts: false,
+        },
+        Case {
+            name: "a new incarnation",
+            event: |sim| {
+                let reborn = Incarnation {
+                    born: 2,
+                    ..incarnation("w", 4_000)
+                };
+                sim.apply(Record::AddIncarnation {
+                    incarnation: reborn,
+                    sequence: 1,
+                });
+            },
+            counts: false,
+        },
+    ];
+    for case in cases {
+        let (mut sim, _) = simulation_with_run();
+        let stopped_ms = sim.now;
+        sim.apply_batch(Vec::new(), changes(1, &["w"], &[]));
+        (case.event)(&mut sim);
+        sim.now = stopped_ms + SILENT_MS;
+        sim.change_leader(2);
+        sim.wait_for_release().expect("the runs are released");
+        let after = sim.now - stopped_ms;
+        let lease_ms = Settings::default().lease_ms * 100 / 98;
+        assert!(
+            after > lease_ms,
+            "{}: released after {after} ms, within the lease",
+            case.name
+        );
+        assert_eq!(
+            after <= lease_ms + SILENT_MS,
+            case.counts,
+            "{}: released after {after} ms",
+            case.name
+        );
+    }
+}
+
+/// Guards against a lease that is renewed while the log says that none is.
+#[test]
+fn leases_are_renewed_only_while_the_log_allows_it() {
+    let (mut sim, order) = simulation_with_run();
+    let poll = sim.plan_after(100).polls.remove(0);
+    assert!(poll.deadline_ms.is_some());
+    sim.poll_failed(&poll);
+    // The entry that stops the renewal is proposed, and the worker answers before it is applied.
+    let mut plan = sim.plan_after(500);
+    assert_eq!(plan.lease_changes.stopped, ["w"]);
+    let stop = plan.lease_changes;
+    sim.report(&plan.polls.remove(0), &[run_key(&order)], Vec::new());
+    let poll = sim.plan_after(10).polls.remove(0);
+    assert_eq!(poll.deadline_ms, None, "the entry is not applied yet");
+    sim.apply_batch(Vec::new(), stop);
+    sim.report(&poll, &[run_key(&order)], Vec::new());
+    let plan = sim.plan_after(10);
+    assert_eq!(plan.polls, [], "the renewal is not in the log yet");
+    assert_eq!(plan.lease_changes.resumed, ["w"]);
+    sim.apply_batch(Vec::new(), plan.lease_changes);
+    let poll = sim.plan_after(10).polls.remove(0);
+    assert!(poll.deadline_ms.is_some(), "the lease is renewed at once");
+}
+
+/// Guards against an entry of an earlier term that stops renewals which its proposer, elected again,
+/// has resumed since.
+#[test]
+fn stop_of_an_earlier_term_is_dropped() {
+    struct Case {
+        name: &'static str,
+        entry_term: u64,
+        stopped: usize,
+    }
+    let cases = [
+        Case {
+            name: "same term",
+            entry_term: 4,
+            stopped: 1,
+        },
+        Case {
+            name: "later term",
+            entry_term: 6,
+            stopped: 0,
+        },
+    ];
+    for case in cases {
+        let mut batch = Batch {
+            lease_changes: Some(changes(4, &["w"], &["v"])),
+            ..Batch::default()
+        };
+        batch.drop_outdated(case.entry_term);
+        let left = batch.lease_changes.expect("the list stays");
+        assert_eq!(left.stopped.len(), case.stopped, "{}", case.name);
+        assert_eq!(left.resumed, ["v"], "{}", case.name);
+    }
+}
