plan, control: only runs that a delayed order may start wait for delayed orders

What callers saw: nothing yet; found while looking for the cause of LOST elsewhere. A lasting task whose worker crashed, came back as a new incarnation and was lost again before its first answer stayed assigned for 22 s, since an order to the earlier incarnation may reach the new one up to 12 s late. A new leader waited 10.35 s for all tasks of a worker that had been replaced within 22 s; with the election both are over the 10 s in which a lasting task must run again. And the 10.35 s did not cover the runs that matter: an order that arrives 12 s late starts a run after them.

Cause: the wait did not distinguish runs that the earlier incarnation had received, and which cannot start a second time, from those whose order may still be on its way; the log did not tell when an incarnation had answered for the first time, after which it ignores delayed orders.

Change: the leader keeps the received runs of the earlier incarnation, and releases them with the leases of that incarnation. For lasting tasks an entry tells which runs were received, for incarnations when they had answered. Other runs wait for the longest delay of an order and the longest lease, also under a new leader. `SilenceTimes` is now `LeaseTimes`; the views of workers are created in inherited.rs.

The first case of new_leader_awaits_delayed_orders_to_new_incarnation was wrong: it wanted the release within 11 s of the change, when an order that is 12 s late has not arrived yet. It now checks the delay plus the lease, with the same tolerance.

--- a/crates/zinnia-control/src/context.rs
+++ b/crates/zinnia-control/src/context.rs
@@ -13,9 +13,9 @@
 use tokio::sync::mpsc;
 use zinnia_peer::Links;
 use zinnia_plan::Leader;
+use zinnia_plan::LeaseTimes;
 use zinnia_plan::RelayedHeartbeat;
 use zinnia_plan::Reply;
-use zinnia_plan::SilenceTimes;
 use zinnia_plan::StartOrder;
 use zinnia_plan::State;
 use zinnia_raft::Node;
@@ -36,7 +36,7 @@
 pub(crate) struct CellState {
     pub(crate) state: State,
     /// When this member learned of silent workers.
-    pub(crate) silences: SilenceTimes,
+    pub(crate) lease_times: LeaseTimes,
     pub(crate) leader: Option<Leader>,
     /// Jobs whose submission was proposed in this term and has no outcome yet.
     pub(crate) open_submits: BTreeSet<JobId>,
@@ -48,7 +48,7 @@
     /// Replaces the replicated state by one from a snapshot.
     pub(crate) fn restore(&mut self, state: State) {
         self.state = state;
-        self.silences.clear();
+        self.lease_times.clear();
     }
 }
 
--- a/crates/zinnia-control/src/leader.rs
+++ b/crates/zinnia-control/src/leader.rs
@@ -175,7 +175,7 @@
             settings,
             term,
             &cell.state,
-            &cell.silences,
+            &cell.lease_times,
             term_start,
         ));
         starts_pending.store(false, Ordering::Relaxed);
--- a/crates/zinnia-control/src/log_hooks.rs
+++ b/crates/zinnia-control/src/log_hooks.rs
@@ -158,7 +158,7 @@
     let mut cell = context.cell_state();
     let cell = &mut *cell;
     let replies = cell.state.apply(&batch);
-    cell.silences.applied(&cell.state, now);
+    cell.lease_times.applied(&cell.state, now);
     if let (Some(leader), Some(changes)) = (cell.leader.as_mut(), &batch.lease_changes) {
         leader.lease_changes_applied(changes, now);
     }
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -6,13 +6,15 @@
 
 use crate::Backlog;
 use crate::LeaseChanges;
+use crate::LeaseTimes;
 use crate::Plan;
 use crate::PolicyQuery;
 use crate::QueryBudget;
 use crate::Settings;
-use crate::SilenceTimes;
 use crate::State;
 use crate::headroom::UrgentTeams;
+use crate::inherited::KnownLeases;
+use crate::inherited::known_leases;
 use crate::lease;
 use crate::placement::Decisions;
 use crate::worker_index::WorkerIndices;
@@ -23,12 +25,12 @@
 pub struct Leader {
     pub(crate) settings: Settings,
     /// Longest lease that earlier leaders may have granted.
-    inherited_lease_ms: u64,
-    /// Until when the leases of silent workers may last, with their incarnation.
-    lease_ends: BTreeMap<String, (i64, Time)>,
+    pub(crate) inherited_lease_ms: u64,
+    /// What the log told about leases before the term.
+    pub(crate) known_leases: BTreeMap<String, KnownLeases>,
     pub(crate) term: u64,
     /// First fencing token of this term; the tokens of earlier terms are lower.
-    base_fence: u64,
+    pub(crate) base_fence: u64,
     pub(crate) term_start: Time,
     pub(crate) views: BTreeMap<String, WorkerView>,
     pub(crate) indices: WorkerIndices,
@@ -46,24 +48,22 @@
 const CHECK_INTERVAL_MS: u64 = 50;
 /// Interval between two estimates of the waiting work.
 const BACKLOG_INTERVAL_MS: u64 = 200;
-/// Longest time in which an order without an answer may still be carried out.
-const MAX_ORDER_DELAY_MS: u64 = 12_000;
 /// Number of fencing tokens that one term may use for a worker.
 const FENCES_PER_TERM: u64 = 1 << 20;
 
 impl Leader {
     /// Creates the state of a leader whose term begins at `now`; `state` is what earlier leaders have
-    /// left, `silences` when this member learned of silent workers.
+    /// left, `lease_times` when this member learned of the leases that they stopped to renew.
     pub fn new(
         settings: Settings,
         term: u64,
         state: &State,
-        silences: &SilenceTimes,
+        lease_times: &LeaseTimes,
         now: Time,
     ) -> Self {
         Self {
             inherited_lease_ms: state.inherited_lease_ms(&settings),
-            lease_ends: silences.lease_ends(state),
+            known_leases: known_leases(state, lease_times),
             settings,
             term,
             base_fence: term * FENCES_PER_TERM,
@@ -102,44 +102,6 @@
         }
     }
 
-    pub(crate) fn view(
-        &mut self,
-        state: &State,
-        worker: &str,
-        born: i64,
-        now: Time,
-    ) -> &mut WorkerView {
-        let base_fence = self.base_fence;
-        let index = self.indices.assign(worker);
-        let max_lease_ms = self.settings.max_lease_ms;
-        let delayed_ms = MAX_ORDER_DELAY_MS + lease::max_duration_ms(max_lease_ms);
-        let replaced = state.was_replaced_within(worker, delayed_ms);
-        // Delayed orders to the previous incarnation may reach the current one, whose clock restarted,
-        // so that it shortens their leases to the longest that it accepts.
-        let inherited_ms = match replaced {
-            true => max_lease_ms,
-            false => self.inherited_lease_ms,
-        };
-        let mut until = self.term_start.after(lease::max_duration_ms(inherited_ms));
-        if let Some((silent_born, lease_end)) = self.lease_ends.get(worker)
-            && *silent_born == born
-            && !replaced
-        {
-            until = until.min(*lease_end);
-        }
-        let view = self
-            .views
-            .entry(worker.to_owned())
-            .or_insert_with(|| WorkerView::new(index, born, base_fence, now, inherited_ms, until));
-        if view.born < born {
-            // The higher token rejects delayed orders, and their leases may last from their latest
-            // possible arrival.
-            let until = until.max(now.after(delayed_ms));
-            *view = WorkerView::new(index, born, view.fence + 1, now, max_lease_ms, until);
-        }
-        view
-    }
-
     /// Processes the answer of the placement policy; `None` if the query failed.
     pub fn policy_answered(
         &mut self,
@@ -181,6 +143,7 @@
             self.report_silent(state, now, &mut plan);
             self.expire_leases(state, now, &mut plan);
             self.stop_renewals(state, now, &mut plan);
+            self.tell_received(state, &mut plan);
             self.stop_runs(state, now, &mut plan);
             self.decisions
                 .retain(|step, _| state.live.contains(&step.job));
--- a/crates/zinnia-plan/src/orders.rs
+++ b/crates/zinnia-plan/src/orders.rs
@@ -101,6 +101,7 @@
             StartOutcome::Accepted { clock_ms } => {
                 let clock_ms = *clock_ms;
                 sent_order.state = OrderState::Accepted { at: now, clock_ms };
+                view.new_runs.push((order.task, order.run));
                 view.last_heard = now;
                 view.failed_calls = 0;
                 view.read_clock(clock_ms, now);
--- a/crates/zinnia-plan/src/polls.rs
+++ b/crates/zinnia-plan/src/polls.rs
@@ -13,7 +13,6 @@
 use crate::State;
 use crate::TaskId;
 use crate::Worker;
-use crate::lease;
 use crate::worker_view::OrderState;
 use crate::worker_view::Progress;
 use crate::worker_view::WorkerView;
@@ -94,11 +93,12 @@
         view.last_heard = now;
         view.read_clock(report.clock_ms, now);
         if view.confirmed_fence == 0 {
-            let duration_ms = lease::max_duration_ms(view.inherited_lease_ms);
-            view.extend_deadline(report.clock_ms.saturating_add(duration_ms));
+            let remaining_ms = view.inherited.remaining_ms(now);
+            view.extend_deadline(report.clock_ms.saturating_add(remaining_ms));
         }
         view.confirmed_fence = view.confirmed_fence.max(poll.fence);
         view.lease_expired = false;
+        view.predecessor = None;
         view.next_poll = now;
         let Some(worker) = state.workers.get(&poll.worker) else {
             return Vec::new();
@@ -200,6 +200,9 @@
         let mut reported = BTreeMap::new();
         for run in &report.running {
             let key = (run.task, run.run);
+            if !self.progress.contains_key(&key) {
+                self.new_runs.push(key);
+            }
             let clock_ms = report.clock_ms;
             let changed_ms = match self.progress.get(&key) {
                 Some(p) if p.percent == run.percent => p.changed_ms,
--- a/crates/zinnia-plan/src/record.rs
+++ b/crates/zinnia-plan/src/record.rs
@@ -51,12 +51,15 @@
     /// Workers whose leases may be renewed again.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub resumed: Vec<String>,
+    /// Runs of tasks that are to last whose start orders have been carried out.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub received: Vec<(TaskId, u32)>,
 }
 
 impl LeaseChanges {
-    /// Whether no worker is listed.
+    /// Whether nothing is listed.
     pub fn is_empty(&self) -> bool {
-        self.stopped.is_empty() && self.resumed.is_empty()
+        self.stopped.is_empty() && self.resumed.is_empty() && self.received.is_empty()
     }
 }
 
--- a/crates/zinnia-plan/src/runs.rs
+++ b/crates/zinnia-plan/src/runs.rs
@@ -12,6 +12,7 @@
 use crate::Status;
 use crate::Task;
 use crate::TaskId;
+use crate::worker_view::WorkerView;
 use crate::worker_view::current_workers;
 
 impl Leader {
@@ -35,8 +36,24 @@
 
     /// Releases the runs of workers whose leases have certainly expired.
     pub(crate) fn expire_leases(&mut self, state: &State, now: Time, plan: &mut Plan) {
+        let term_start = self.term_start;
         for (name, view, worker) in current_workers(&mut self.views, state) {
-            if worker.runs.is_empty() || view.lease_expired || !view.leases_expired(now) {
+            if worker.runs.is_empty() || view.lease_expired {
+                continue;
+            }
+            let expired = |view: &WorkerView, runs: usize| ExpiredLease {
+                worker: name.to_owned(),
+                born: view.born,
+                runs,
+                silent_ms: view.silent_ms(now),
+                term_age_ms: now.since(term_start),
+            };
+            if !view.leases_expired(now) {
+                let ended = view.ended_runs_of_predecessor(&worker.runs, now);
+                if !ended.is_empty() {
+                    plan.expired.push(expired(view, ended.len()));
+                    plan.records.push(Record::Release(ended));
+                }
                 continue;
             }
             view.lease_expired = true;
@@ -54,13 +71,7 @@
                 .iter()
                 .map(|&(t, r)| (t, r, checkpoint((t, r)).to_owned()));
             plan.records.push(Record::Release(list.collect()));
-            plan.expired.push(ExpiredLease {
-                worker: name.to_owned(),
-                born: view.born,
-                runs: worker.runs.len(),
-                silent_ms: view.silent_ms(now),
-                term_age_ms: now.since(self.term_start),
-            });
+            plan.expired.push(expired(view, worker.runs.len()));
         }
     }
 
--- a/crates/zinnia-plan/src/silence.rs
+++ b/crates/zinnia-plan/src/silence.rs
@@ -14,13 +14,12 @@
 use crate::LeaseChanges;
 use crate::Plan;
 use crate::State;
-use crate::lease;
 use crate::worker_view::WorkerView;
 use crate::worker_view::current_workers;
 
 /// Number of entries whose time of application a member keeps. For older ones the wait counts from
 /// the term of the new leader.
-const MAX_TIMES: usize = 1_024;
+const MAX_TIMES: u64 = 1_024;
 
 /// Interval after which a proposed change is proposed again if it was not applied.
 const RETRY_MS: u64 = 400;
@@ -28,29 +27,35 @@
 /// The last renewal of a worker's lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Silence {
-    /// Number of the entry that stopped the renewal, as in [`State::silences`].
+    /// Number of the entry that stopped the renewal, as in [`State::lease_entries`].
     pub number: u64,
     /// Longest lease, in milliseconds, that the worker may have had when the entry was proposed.
     pub lease_ms: u64,
 }
 
-/// When a member applied the entries that stopped the renewal of leases, on its own clock.
+/// When a member applied the entries that list workers whose leases are renewed no more, or again, on
+/// its own clock.
 ///
-/// An entry is applied after it was proposed, so that a lease has expired everywhere once its length
-/// has passed since the application.
+/// An entry is applied after it was proposed, so that a lease which was granted before has expired
+/// once its length has passed since the application.
 #[derive(Debug, Default)]
-pub struct SilenceTimes {
+pub struct LeaseTimes {
     times: BTreeMap<u64, Time>,
 }
 
-impl SilenceTimes {
+impl LeaseTimes {
     /// Records that the latest entry in `state` was applied at `now`.
     pub fn applied(&mut self, state: &State, now: Time) {
-        if state.silences == 0 {
-            return;
+        let known = self.times.last_key_value().map_or(0, |(number, _)| *number);
+        let oldest = state.lease_entries.saturating_sub(MAX_TIMES);
+        for number in known.max(oldest)..state.lease_entries {
+            self.times.insert(number + 1, now);
         }
-        self.times.entry(state.silences).or_insert(now);
-        if self.times.len() > MAX_TIMES {
+        while self
+            .times
+            .first_key_value()
+            .is_some_and(|(number, _)| *number <= oldest)
+        {
             self.times.pop_first();
         }
     }
@@ -60,17 +65,9 @@
         self.times.clear();
     }
 
-    /// Until when the leases of silent workers may last, by the name of the worker.
-    pub(crate) fn lease_ends(&self, state: &State) -> BTreeMap<String, (i64, Time)> {
-        let lease_end = |silence: Silence| {
-            let at = self.times.get(&silence.number)?;
-            Some(at.after(lease::max_duration_ms(silence.lease_ms)))
-        };
-        let silent = state.workers.iter().filter_map(|(name, worker)| {
-            let until = lease_end(worker.silence?)?;
-            Some((name.clone(), (worker.incarnation.born, until)))
-        });
-        silent.collect()
+    /// When this member applied the entry with this number.
+    pub(crate) fn get(&self, number: u64) -> Option<Time> {
+        self.times.get(&number).copied()
     }
 }
 
@@ -83,19 +80,27 @@
             }
             return;
         };
+        for &(id, run) in &changes.received {
+            if let Some(task) = self.task_mut(id)
+                && task.run == run
+            {
+                task.received = task.worker.is_some();
+            }
+        }
+        if changes.stopped.is_empty() && changes.resumed.is_empty() {
+            return;
+        }
+        self.lease_entries += 1;
+        let number = self.lease_entries;
         for name in &changes.resumed {
             if let Some(worker) = self.workers.get_mut(name) {
                 worker.silence = None;
+                if worker.replaced_ms.is_some() {
+                    worker.answered.get_or_insert(number);
+                }
             }
         }
-        if changes.stopped.is_empty() {
-            return;
-        }
-        self.silences += 1;
-        let silence = Silence {
-            number: self.silences,
-            lease_ms,
-        };
+        let silence = Silence { number, lease_ms };
         for name in &changes.stopped {
             if let Some(worker) = self.workers.get_mut(name) {
                 worker.silence.get_or_insert(silence);
@@ -112,6 +117,20 @@
 }
 
 impl Leader {
+    /// Requests the entry that tells which runs of tasks that are to last were received. Only these must
+    /// start again within a bound, and an entry for each run of other tasks would double the log.
+    pub(crate) fn tell_received(&mut self, state: &State, plan: &mut Plan) {
+        for (_, view, worker) in current_workers(&mut self.views, state) {
+            for key in view.new_runs.drain(..) {
+                let is_lasting = state.step(key.0).is_some_and(|s| s.long_running);
+                let is_told = state.task(key.0).is_none_or(|t| t.received);
+                if is_lasting && !is_told && worker.runs.contains(&key) {
+                    plan.lease_changes.received.push(key);
+                }
+            }
+        }
+    }
+
     /// Requests the entry that stops the renewal of the leases of workers that do not answer.
     pub(crate) fn stop_renewals(&mut self, state: &State, now: Time, plan: &mut Plan) {
         for (name, view, worker) in current_workers(&mut self.views, state) {
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -46,6 +46,10 @@
     /// epoch; `None` if it did not.
     #[serde(rename = "replaced", default)]
     pub replaced_ms: Option<i64>,
+    /// Entry that told of its first answer, as in [`State::lease_entries`]; only if it replaced an
+    /// earlier incarnation.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub answered: Option<u64>,
     /// Since when its leases are not renewed; `None` if they may be.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub silence: Option<Silence>,
@@ -82,9 +86,9 @@
     /// does not contain it.
     #[serde(rename = "lease", default)]
     pub lease_bound: Option<u64>,
-    /// Number of entries that stopped the renewal of leases.
+    /// Number of entries that listed workers whose leases are renewed no more, or again.
     #[serde(default)]
-    pub silences: u64,
+    pub lease_entries: u64,
     /// Text of the current document as received.
     pub raw: String,
     /// The current document.
@@ -327,6 +331,11 @@
         Some((spec, state))
     }
 
+    pub(crate) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        let (_, step) = self.step_mut(id)?;
+        step.tasks.get_mut(id.index as usize)
+    }
+
     /// Whether the state allows a start: the incarnation is current and accepts tasks, the job is
     /// open, the dependencies are complete, and the task has no run.
     fn may_start(&self, start: &Start) -> bool {
@@ -397,6 +406,11 @@
             worker.last_start_ms = at;
             // The order of the start contains a lease.
             worker.silence = None;
+            // A worker gets runs only after it has answered.
+            if worker.replaced_ms.is_some() && worker.answered.is_none() {
+                self.lease_entries += 1;
+                worker.answered = Some(self.lease_entries);
+            }
             // The worker has answered since the runs were released.
             worker.released.clear();
         }
@@ -425,6 +439,7 @@
             return false;
         };
         let started_ms = mem::take(&mut task.started_ms);
+        task.received = false;
         state.assigned -= 1;
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.runs.remove(&(id, run));
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -13,6 +13,8 @@
 use crate::Step;
 use crate::TaskId;
 use crate::Worker;
+use crate::inherited::Inherited;
+use crate::inherited::Predecessor;
 use crate::lease;
 use crate::lease::CLOCK_MARGIN_MS;
 use crate::lease::MAX_CLOCK_LAG_PERCENT;
@@ -127,11 +129,10 @@
     last_reading: Option<(u64, Time)>,
     /// Latest lease deadline, on the worker's clock, that may have been delivered to the worker.
     max_deadline: u64,
-    /// Longest lease that the worker may have received from an earlier leader, or from a delayed
-    /// order to its previous incarnation.
-    pub(crate) inherited_lease_ms: u64,
-    /// When all such leases have expired.
-    inherited_until: Time,
+    /// Longest lease that no order of this leader to this incarnation granted.
+    pub(crate) inherited: Inherited,
+    /// Runs of the incarnation before, until this one has answered.
+    pub(crate) predecessor: Option<Predecessor>,
     /// Whether the runs were released after the lease expired, and the worker has not answered
     /// since.
     pub(crate) lease_expired: bool,
@@ -153,6 +154,8 @@
     pub(crate) next_poll: Time,
     pub(crate) orders: BTreeMap<(TaskId, u32), SentOrder>,
     pub(crate) progress: BTreeMap<(TaskId, u32), Progress>,
+    /// Runs that the worker has received since the last check.
+    pub(crate) new_runs: Vec<(TaskId, u32)>,
     /// When a stop order was last sent for each run.
     pub(crate) stop_times: BTreeMap<(TaskId, u32), Time>,
     /// Jobs with a failed run on this worker since its last successful run.
@@ -164,15 +167,13 @@
 }
 
 impl WorkerView {
-    /// Creates the view of an incarnation that may have a lease of up to `inherited_lease_ms`, which
-    /// no order of this leader granted and which lasts until `inherited_until` at most.
+    /// Creates the view of an incarnation that has not answered this leader.
     pub(crate) fn new(
         index: WorkerIndex,
         born: i64,
         fence: u64,
         now: Time,
-        inherited_lease_ms: u64,
-        inherited_until: Time,
+        inherited: Inherited,
     ) -> Self {
         Self {
             index,
@@ -182,8 +183,8 @@
             clock: None,
             last_reading: None,
             max_deadline: 0,
-            inherited_lease_ms,
-            inherited_until,
+            inherited,
+            predecessor: None,
             lease_expired: false,
             stop_proposed: None,
             reported_silent: false,
@@ -195,6 +196,7 @@
             next_poll: now,
             orders: BTreeMap::new(),
             progress: BTreeMap::new(),
+            new_runs: Vec::new(),
             stop_times: BTreeMap::new(),
             failed_jobs: BTreeSet::new(),
             suspect_until: Time(0),
@@ -286,10 +288,19 @@
         self.max_deadline = self.max_deadline.max(clock_ms);
     }
 
+    /// Runs whose start order the worker has certainly carried out.
+    pub(crate) fn received_runs(&self) -> BTreeSet<(TaskId, u32)> {
+        let is_accepted = |o: &SentOrder| matches!(o.state, OrderState::Accepted { .. });
+        let accepted = self.orders.iter().filter(|(_, o)| is_accepted(o));
+        let mut runs: BTreeSet<_> = accepted.map(|(key, _)| *key).collect();
+        runs.extend(self.progress.keys());
+        runs
+    }
+
     /// Longest time until every lease that the worker may have received has expired.
     pub(crate) fn remaining_lease_ms(&self, now: Time) -> u64 {
-        if self.confirmed_fence == 0 && now < self.inherited_until {
-            return self.inherited_until.since(now);
+        if self.confirmed_fence == 0 && now < self.inherited.until {
+            return self.inherited.until.since(now);
         }
         let Some(clock) = self.min_clock(now) else {
             return 0;
@@ -300,7 +311,7 @@
 
     /// Whether every lease that the worker may have received has expired.
     pub(crate) fn leases_expired(&self, now: Time) -> bool {
-        if now < self.inherited_until && self.confirmed_fence == 0 {
+        if now < self.inherited.until && self.confirmed_fence == 0 {
             return false;
         }
         match self.min_clock(now) {
--- a/crates/zinnia-plan/tests/common/mod.rs
+++ b/crates/zinnia-plan/tests/common/mod.rs
@@ -20,6 +20,7 @@
 use zinnia_plan::JobSpec;
 use zinnia_plan::Leader;
 use zinnia_plan::LeaseChanges;
+use zinnia_plan::LeaseTimes;
 use zinnia_plan::Plan;
 use zinnia_plan::Policy;
 use zinnia_plan::Poll;
@@ -31,7 +32,6 @@
 use zinnia_plan::Report;
 use zinnia_plan::Resources;
 use zinnia_plan::Settings;
-use zinnia_plan::SilenceTimes;
 use zinnia_plan::Start;
 use zinnia_plan::StartOrder;
 use zinnia_plan::StartOutcome;
@@ -55,7 +55,7 @@
 pub(crate) struct Simulation {
     pub(crate) state: State,
     pub(crate) leader: Leader,
-    pub(crate) silences: SilenceTimes,
+    pub(crate) lease_times: LeaseTimes,
     pub(crate) now: u64,
 }
 
@@ -162,10 +162,10 @@
                 Settings::default(),
                 1,
                 &State::default(),
-                &SilenceTimes::default(),
+                &LeaseTimes::default(),
                 Time(1_000),
             ),
-            silences: SilenceTimes::default(),
+            lease_times: LeaseTimes::default(),
             now: 1_000,
         };
         sim.apply(Record::Document {
@@ -193,7 +193,7 @@
             records,
         };
         let replies = self.state.apply(&batch);
-        self.silences.applied(&self.state, now);
+        self.lease_times.applied(&self.state, now);
         if let Some(changes) = &batch.lease_changes {
             self.leader.lease_changes_applied(changes, now);
         }
@@ -302,7 +302,7 @@
     /// Replaces the leader by one whose term begins now.
     pub(crate) fn change_leader(&mut self, term: u64) {
         let (settings, now) = (Settings::default(), Time(self.now));
-        self.leader = Leader::new(settings, term, &self.state, &self.silences, now);
+        self.leader = Leader::new(settings, term, &self.state, &self.lease_times, now);
     }
 
     /// Plans every 100 ms without any answer of a worker until runs are released. Returns the time
--- a/crates/zinnia-plan/tests/lease.rs
+++ b/crates/zinnia-plan/tests/lease.rs
@@ -10,6 +10,7 @@
 use common::step;
 use common::task;
 use zinnia_plan::Incarnation;
+use zinnia_plan::LeaseChanges;
 use zinnia_plan::Record;
 use zinnia_plan::Settings;
 use zinnia_plan::StartOutcome;
@@ -191,18 +192,22 @@
         name: &'static str,
         /// Time between the new incarnation and the change of the leader.
         replaced_before_ms: u64,
-        min_wait_ms: u64,
+        /// Longest time after the change in which an order to the earlier incarnation may arrive.
+        delay_ms: u64,
+        lease_ms: u64,
     }
     let cases = [
         Case {
             name: "new incarnation",
             replaced_before_ms: 500,
-            min_wait_ms: 10_000,
+            delay_ms: 12_000,
+            lease_ms: 10_000,
         },
         Case {
             name: "orders to the earlier incarnation cannot arrive any more",
             replaced_before_ms: 25_000,
-            min_wait_ms: 7_000,
+            delay_ms: 0,
+            lease_ms: 7_000,
         },
     ];
     for case in cases {
@@ -217,12 +222,12 @@
         sim.change_leader(2);
         let after = sim.wait_for_release().expect("the runs are released");
         assert!(
-            after > case.min_wait_ms * 100 / 98,
+            after > case.delay_ms + case.lease_ms * 100 / 98,
             "{}: released after {after} ms",
             case.name
         );
         assert!(
-            after < case.min_wait_ms * 11 / 10,
+            after < case.delay_ms + case.lease_ms * 11 / 10,
             "{}: released after {after} ms",
             case.name
         );
@@ -358,3 +363,94 @@
         );
     }
 }
+
+/// Guards against tasks of a crashed worker that wait for delayed orders, which only matter for runs that
+/// the crashed incarnation did not receive, if the next incarnation is lost before its first answer.
+#[test]
+fn received_runs_do_not_wait_for_delayed_orders() {
+    struct Case {
+        name: &'static str,
+        /// Whether the start order of the run was answered before the crash.
+        received: bool,
+        /// Whether the log tells so.
+        told: bool,
+        /// Time between the start of the run and the next incarnation.
+        age_ms: u64,
+        /// Whether the leader is lost with the next incarnation.
+        leader_lost: bool,
+        in_time: bool,
+    }
+    let cases = [
+        Case {
+            name: "received",
+            received: true,
+            told: false,
+            age_ms: 1_000,
+            leader_lost: false,
+            in_time: true,
+        },
+        Case {
+            name: "not answered",
+            received: false,
+            told: false,
+            age_ms: 1_000,
+            leader_lost: false,
+            in_time: false,
+        },
+        Case {
+            name: "a new leader does not know that it was received",
+            received: true,
+            told: false,
+            age_ms: 1_000,
+            leader_lost: true,
+            in_time: false,
+        },
+        Case {
+            name: "a new leader, received as the log tells",
+            received: true,
+            told: true,
+            age_ms: 1_000,
+            leader_lost: true,
+            in_time: true,
+        },
+        Case {
+            name: "a new leader, started too long ago for a delayed order",
+            received: false,
+            told: false,
+            age_ms: 18_000,
+            leader_lost: true,
+            in_time: true,
+        },
+    ];
+    for case in cases {
+        let (mut sim, order) = simulation_with_run();
+        if !case.received {
+            sim.start_answered(&order, &StartOutcome::Unknown);
+        }
+        if case.told {
+            let received = LeaseChanges {
+                received: vec![run_key(&order)],
+                ..LeaseChanges::default()
+            };
+            sim.apply_batch(Vec::new(), received);
+        }
+        sim.now += case.age_ms;
+        let reborn = Incarnation {
+            born: 2,
+            ..incarnation("w", 4_000)
+        };
+        sim.heartbeat(&reborn, 1, false);
+        let lost_ms = sim.now;
+        if case.leader_lost {
+            sim.change_leader(2);
+        }
+        sim.wait_for_release().expect("the runs are released");
+        let after = sim.now - lost_ms;
+        assert_eq!(
+            after <= RESTART_MS - ELECTION_AND_START_MS,
+            case.in_time,
+            "{}: released after {after} ms",
+            case.name
+        );
+    }
+}
--- a/crates/zinnia-plan/tests/silence.rs
+++ b/crates/zinnia-plan/tests/silence.rs
@@ -24,6 +24,7 @@
         term,
         stopped: names(stopped),
         resumed: names(resumed),
+        ..LeaseChanges::default()
     }
 }
 
@@ -82,7 +83,7 @@
         },
         Case {
             name: "state from a snapshot",
-            event: |sim| sim.silences.clear(),
+            event: |sim| sim.lease_times.clear(),
             counts: false,
         },
         Case {
@@ -180,3 +181,32 @@
         assert_eq!(left.resumed, ["v"], "{}", case.name);
     }
 }
+
+/// Guards against a run of a task that is to last which a new leader takes for one that a delayed order may
+/// still start, and against an entry for each run of other tasks.
+#[test]
+fn received_runs_of_lasting_tasks_are_told_once() {
+    for long_running in [true, false] {
+        let mut sim = Simulation::new(common::document(None));
+        sim.add_worker(&incarnation("w", 4_000));
+        let lasting = zinnia_plan::Step {
+            long_running,
+            ..step(1, 1_000)
+        };
+        sim.submit(job(vec![lasting]));
+        let order = sim.start_tasks().pop().expect("the task is started");
+        assert_eq!(sim.plan_after(100).lease_changes.received, []);
+        let clock_ms = sim.now + common::WORKER_CLOCK_LEAD_MS;
+        sim.start_answered(&order, &StartOutcome::Accepted { clock_ms });
+        let mut told = Vec::new();
+        for _ in 0..3 {
+            told.extend(sim.plan_after(100).lease_changes.received);
+        }
+        let expected = if long_running {
+            vec![run_key(&order)]
+        } else {
+            Vec::new()
+        };
+        assert_eq!(told, expected, "long-running: {long_running}");
+    }
+}
--- a/crates/zinnia-plan/tests/takeover.rs
+++ b/crates/zinnia-plan/tests/takeover.rs
@@ -40,7 +40,7 @@
 
     let settings = Settings::default();
     let max_idle_polls = settings.max_idle_polls;
-    sim.leader = Leader::new(settings, 2, &sim.state, &sim.silences, Time(sim.now));
+    sim.leader = Leader::new(settings, 2, &sim.state, &sim.lease_times, Time(sim.now));
     let took_over_at = sim.now;
     let mut polled = BTreeSet::new();
     while polled.len() < WORKERS as usize {
