plan: the entry about a silent worker carries the wait for its own leases

Cause: the entry stood for the longest lease in use, counted from the entry, although the leader notices a silence up to 2.2 s after the last renewal.

Change: the entry holds, for each worker, the time after which its leases have expired, as its proposer knows it.

--- a/crates/zinnia-plan/src/inherited.rs
+++ b/crates/zinnia-plan/src/inherited.rs
@@ -8,6 +8,7 @@
 
 use crate::Leader;
 use crate::LeaseTimes;
+use crate::Silence;
 use crate::State;
 use crate::Task;
 use crate::TaskId;
@@ -66,11 +67,10 @@
 /// Returns what this member knows about the leases of each worker at the start of a term.
 pub(crate) fn known_leases(state: &State, times: &LeaseTimes) -> BTreeMap<String, KnownLeases> {
     let known = |worker: &Worker| {
-        let silence = worker.silence;
-        let lease_end = |at: Time| silence.map(|s| at.after(lease::max_duration_ms(s.lease_ms)));
+        let lease_end = |s: Silence| Some(times.get(s.number)?.after(s.wait_ms));
         KnownLeases {
             born: worker.incarnation.born,
-            silent_until: silence.and_then(|s| lease_end(times.get(s.number)?)),
+            silent_until: worker.silence.and_then(lease_end),
             answered_at: worker.answered.and_then(|number| times.get(number)),
         }
     };
--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -74,6 +74,7 @@
 pub use record::Record;
 pub use record::Reply;
 pub use record::Start;
+pub use record::StoppedRenewal;
 pub use silence::LeaseTimes;
 pub use silence::Silence;
 pub use spec::BadTaskId;
--- a/crates/zinnia-plan/src/record.rs
+++ b/crates/zinnia-plan/src/record.rs
@@ -47,7 +47,7 @@
     /// Workers whose leases the leader has not renewed since it proposed this, and will not renew
     /// until an entry lists them in `resumed` or assigns a run to them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub stopped: Vec<String>,
+    pub stopped: Vec<StoppedRenewal>,
     /// Workers whose leases may be renewed again.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub resumed: Vec<String>,
@@ -56,6 +56,15 @@
     pub received: Vec<(TaskId, u32)>,
 }
 
+/// A worker whose leases are not renewed any more.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoppedRenewal {
+    /// Name of the worker.
+    pub worker: String,
+    /// Time, in milliseconds, after which its leases have certainly expired.
+    pub wait_ms: u64,
+}
+
 impl LeaseChanges {
     /// Whether nothing is listed.
     pub fn is_empty(&self) -> bool {
--- a/crates/zinnia-plan/src/silence.rs
+++ b/crates/zinnia-plan/src/silence.rs
@@ -14,6 +14,7 @@
 use crate::LeaseChanges;
 use crate::Plan;
 use crate::State;
+use crate::StoppedRenewal;
 use crate::worker_view::WorkerView;
 use crate::worker_view::current_workers;
 
@@ -29,8 +30,8 @@
 pub struct Silence {
     /// Number of the entry that stopped the renewal, as in [`State::lease_entries`].
     pub number: u64,
-    /// Longest lease, in milliseconds, that the worker may have had when the entry was proposed.
-    pub lease_ms: u64,
+    /// Time, in milliseconds, after which the leases that it had at the proposal have expired.
+    pub wait_ms: u64,
 }
 
 /// When a member applied the entries that list workers whose leases are renewed no more, or again, on
@@ -73,7 +74,7 @@
 
 impl State {
     pub(crate) fn apply_lease_changes(&mut self, batch: &Batch) {
-        let (Some(changes), Some(lease_ms)) = (&batch.lease_changes, batch.lease_bound) else {
+        let Some(changes) = &batch.lease_changes else {
             // A leader of an earlier build renews leases without an entry.
             for worker in self.workers.values_mut() {
                 worker.silence = None;
@@ -100,10 +101,10 @@
                 }
             }
         }
-        let silence = Silence { number, lease_ms };
-        for name in &changes.stopped {
-            if let Some(worker) = self.workers.get_mut(name) {
-                worker.silence.get_or_insert(silence);
+        for stopped in &changes.stopped {
+            if let Some(worker) = self.workers.get_mut(&stopped.worker) {
+                let wait_ms = stopped.wait_ms;
+                worker.silence.get_or_insert(Silence { number, wait_ms });
             }
         }
     }
@@ -141,15 +142,18 @@
             let is_proposed = view.stop_proposed.is_some();
             if (view.renews_no_lease() || is_proposed) && !view.stop_proposed.is_some_and(is_open) {
                 view.stop_proposed = Some(now);
-                plan.lease_changes.stopped.push(name.to_owned());
+                plan.lease_changes.stopped.push(StoppedRenewal {
+                    worker: name.to_owned(),
+                    wait_ms: view.remaining_lease_ms(now),
+                });
             }
         }
     }
 
     /// Processes the application of an entry that changes which leases are renewed.
     pub fn lease_changes_applied(&mut self, changes: &LeaseChanges, now: Time) {
-        for name in &changes.stopped {
-            if let Some(view) = self.views.get_mut(name) {
+        for stopped in &changes.stopped {
+            if let Some(view) = self.views.get_mut(&stopped.worker) {
                 view.stop_proposed = None;
             }
         }
--- a/crates/zinnia-plan/tests/lease.rs
+++ b/crates/zinnia-plan/tests/lease.rs
@@ -454,3 +454,27 @@
         );
     }
 }
+
+/// Guards against a wait that a new leader counts in full from the entry about a silent worker, whose
+/// leases had lasted for some time when the leader noticed the silence.
+#[test]
+fn wait_counts_from_the_last_renewal() {
+    let (mut sim, _) = simulation_with_run();
+    let lost_ms = sim.now;
+    let poll = sim.plan().polls.remove(0);
+    sim.now += 2_200;
+    sim.poll_failed(&poll);
+    sim.plan_and_tell();
+    sim.now += 100;
+    sim.change_leader(2);
+    sim.wait_for_release().expect("the runs are released");
+    let after = sim.now - lost_ms;
+    assert!(
+        after > Settings::default().lease_ms * 100 / 98,
+        "{after} ms"
+    );
+    assert!(
+        after <= RESTART_MS - ELECTION_AND_START_MS,
+        "released {after} ms after the loss"
+    );
+}
--- a/crates/zinnia-plan/tests/silence.rs
+++ b/crates/zinnia-plan/tests/silence.rs
@@ -14,16 +14,20 @@
 use zinnia_plan::Record;
 use zinnia_plan::Settings;
 use zinnia_plan::StartOutcome;
+use zinnia_plan::StoppedRenewal;
 
 /// Time from the entry that stopped the renewal until the leader is replaced.
 const SILENT_MS: u64 = 3_000;
 
 fn changes(term: u64, stopped: &[&str], resumed: &[&str]) -> LeaseChanges {
-    let names = |list: &[&str]| list.iter().map(|&name| name.to_owned()).collect();
+    let stop = |&name: &&str| StoppedRenewal {
+        worker: name.to_owned(),
+        wait_ms: Settings::default().lease_ms * 103 / 100,
+    };
     LeaseChanges {
         term,
-        stopped: names(stopped),
-        resumed: names(resumed),
+        stopped: stopped.iter().map(stop).collect(),
+        resumed: resumed.iter().map(|&name| name.to_owned()).collect(),
         ..LeaseChanges::default()
     }
 }
@@ -134,7 +138,13 @@
     sim.poll_failed(&poll);
     // The entry that stops the renewal is proposed, and the worker answers before it is applied.
     let mut plan = sim.plan_after(500);
-    assert_eq!(plan.lease_changes.stopped, ["w"]);
+    let stopped: Vec<_> = plan
+        .lease_changes
+        .stopped
+        .iter()
+        .map(|s| &s.worker)
+        .collect();
+    assert_eq!(stopped, ["w"]);
     let stop = plan.lease_changes;
     sim.report(&plan.polls.remove(0), &[run_key(&order)], Vec::new());
     let poll = sim.plan_after(10).polls.remove(0);
