plan: the silence of a replaced worker counts under a new leader

Change: the wait in the entry includes the leases of delayed orders, so it counts for such workers too.

--- a/crates/zinnia-plan/src/inherited.rs
+++ b/crates/zinnia-plan/src/inherited.rs
@@ -177,25 +177,34 @@
         // restarted, so that it shortens their leases to the longest that it accepts.
         let replaced =
             worker.filter(|_| state.was_replaced_within(name, max_delayed_ms(max_lease_ms)));
-        let Some(worker) = replaced else {
-            let silent_until = known.and_then(|k| k.silent_until);
-            let until = silent_until.map_or(granted.until, |end| end.min(granted.until));
-            return (Inherited { until, ..granted }, None);
+        let silent_until = known.and_then(|k| k.silent_until);
+        let answered_at = known.and_then(|k| k.answered_at);
+        let longest = match (replaced, answered_at) {
+            (None, _) => granted,
+            (Some(_), Some(at)) => {
+                // Since its first answer the worker has ignored delayed orders.
+                let delayed = Inherited::new(max_lease_ms, at.min(self.term_start));
+                Inherited {
+                    until: delayed.until.max(granted.until),
+                    ..delayed
+                }
+            }
+            (Some(_), None) => Inherited {
+                lease_ms: max_lease_ms,
+                until: self.term_start.after(max_delayed_ms(max_lease_ms)),
+            },
         };
-        if let Some(at) = known.and_then(|k| k.answered_at) {
-            // Since its first answer the worker has ignored delayed orders.
-            let delayed = Inherited::new(max_lease_ms, at.min(self.term_start));
-            let until = delayed.until.max(granted.until);
-            return (Inherited { until, ..delayed }, None);
-        }
-        let delayed = Inherited {
-            lease_ms: max_lease_ms,
-            until: self.term_start.after(max_delayed_ms(max_lease_ms)),
+        let inherited = Inherited {
+            until: silent_until.map_or(longest.until, |end| end.min(longest.until)),
+            ..longest
+        };
+        let Some(worker) = replaced.filter(|_| answered_at.is_none()) else {
+            return (inherited, None);
         };
         let predecessor = Predecessor {
             runs: state.runs_of_predecessor(worker),
             until: granted.until,
         };
-        (delayed, Some(predecessor))
+        (inherited, Some(predecessor))
     }
 }
--- a/crates/zinnia-plan/tests/lease.rs
+++ b/crates/zinnia-plan/tests/lease.rs
@@ -478,3 +478,42 @@
         "released {after} ms after the loss"
     );
 }
+
+/// Guards against a new leader that waits anew for the leases of a silent worker because the worker had
+/// crashed and returned shortly before.
+#[test]
+fn silence_of_a_replaced_worker_counts() {
+    let (mut sim, _) = simulation_with_run();
+    let reborn = Incarnation {
+        born: 2,
+        ..incarnation("w", 4_000)
+    };
+    sim.heartbeat(&reborn, 1, false);
+    sim.now += 100;
+    let poll = sim.plan_and_tell().polls.remove(0);
+    sim.report(&poll, &[], Vec::new());
+    sim.now += 4_000;
+    sim.heartbeat(&reborn, 2, false);
+    let starts = sim.plan_and_tell().starts;
+    let order = sim.start(starts).pop().expect("the task runs again");
+    let clock_ms = sim.now + WORKER_CLOCK_LEAD_MS;
+    sim.start_answered(&order, &StartOutcome::Accepted { clock_ms });
+    let lost_ms = sim.now;
+    sim.now += 2_000;
+    let poll = sim.plan_and_tell().polls.remove(0);
+    sim.poll_failed(&poll);
+    sim.now += 100;
+    sim.plan_and_tell();
+    sim.now += 3_000;
+    sim.change_leader(2);
+    sim.wait_for_release().expect("the runs are released");
+    let after = sim.now - lost_ms;
+    assert!(
+        after > Settings::default().lease_ms * 100 / 98,
+        "{after} ms"
+    );
+    assert!(
+        after <= RESTART_MS - ELECTION_AND_START_MS,
+        "released {after} ms after the loss"
+    );
+}
