plan: tasks that are to last avoid workers whose lease may outlast ours

Cause: a worker that crashed and returned may have got a lease of up to 10 s from a delayed order before its first answer, and a worker never shortens a lease.

Change: for tasks that are to last, workers with such a lease come last; it is over 10 s after the worker's first answer. Other tasks are placed as before.

Test: lasting_tasks_avoid_workers_with_long_leases; without the change the task goes to the worker that has just returned.

--- a/crates/zinnia-plan/src/capacity.rs
+++ b/crates/zinnia-plan/src/capacity.rs
@@ -25,6 +25,8 @@
     pub(crate) services: bool,
     /// Whether a young run is that of a task under which a worker has crashed.
     pub(crate) suspect: bool,
+    /// Whether the worker may have a lease that outlasts those of this leader.
+    pub(crate) long_lease: bool,
     /// Whether the pass starts a task on the worker.
     pub(crate) starts: bool,
 }
@@ -94,6 +96,7 @@
             best_effort: worker.best_effort > 0,
             services: worker.services > 0,
             suspect: false,
+            long_lease: false,
             starts: false,
         };
         if let Some(entry) = self.workers.get_mut(index.position()) {
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -15,6 +15,7 @@
 use crate::WaitingSteps;
 use crate::capacity::Capacities;
 use crate::headroom::UrgentWork;
+use crate::lease;
 use crate::policy::PolicyDecisions;
 use crate::wait_reason::WaitReason;
 use crate::waiting::WaitingStep;
@@ -77,6 +78,7 @@
     /// Returns the free capacity of all workers that accept tasks.
     fn worker_capacities<'a>(&mut self, state: &'a State, now: Time) -> Capacities<'a> {
         let mut capacities = Capacities::new(self.indices.len());
+        let longest_ms = lease::max_duration_ms(self.settings.lease_ms);
         for (name, view, worker) in current_workers(&mut self.views, state) {
             let usable = !worker.left
                 && view.confirmed_fence == view.fence
@@ -86,6 +88,9 @@
                 && now.since(view.last_heard) < self.settings.silence_ms;
             if usable {
                 capacities.insert(view.index, name, worker);
+                if let Some(capacity) = capacities.get_mut(view.index) {
+                    capacity.long_lease = view.remaining_lease_ms(now) > longest_ms;
+                }
             }
         }
         capacities.number_domains();
--- a/crates/zinnia-plan/src/suitability.rs
+++ b/crates/zinnia-plan/src/suitability.rs
@@ -8,6 +8,9 @@
 /// How well a worker suits a task, best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Suitability {
+    /// Whether the task is to last and the worker may have a long lease. If the worker is lost, the task
+    /// runs again only after that lease.
+    long_lease: bool,
     /// Whether the task's data is in another rack.
     pub(crate) data_remote: bool,
     /// Whether the task serves user requests and the worker runs best-effort tasks.
@@ -86,6 +89,7 @@
         let domains = self.capacities.domains;
         let first_domain = waiting.id.job.0 % domains;
         Some(Suitability {
+            long_lease: step.long_running && capacity.long_lease,
             data_remote: !step.data_rack.is_empty()
                 && incarnation.rack() != Some(step.data_rack.as_str()),
             mixed_load: step.is_service() && capacity.best_effort,
--- a/crates/zinnia-plan/tests/lease.rs
+++ b/crates/zinnia-plan/tests/lease.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
+use common::Simulation;
 use common::WORKER_CLOCK_LEAD_MS;
+use common::document;
 use common::incarnation;
 use common::job;
 use common::run_key;
@@ -14,6 +16,7 @@
 use zinnia_plan::Record;
 use zinnia_plan::Settings;
 use zinnia_plan::StartOutcome;
+use zinnia_plan::Step;
 use zinnia_plan::lease_bound_ms;
 use zinnia_types::Time;
 
@@ -517,3 +520,45 @@
         "released {after} ms after the loss"
     );
 }
+
+/// Guards against a task that is to last on a worker that has just crashed and returned: if it is lost
+/// again, the task waits for a lease of a delayed order.
+#[test]
+fn lasting_tasks_avoid_workers_with_long_leases() {
+    struct Case {
+        name: &'static str,
+        long_running: bool,
+        worker: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "task that ends",
+            long_running: false,
+            worker: "returned",
+        },
+        Case {
+            name: "task that is to last",
+            long_running: true,
+            worker: "steady",
+        },
+    ];
+    for case in cases {
+        let mut sim = Simulation::new(document(None));
+        let returned = incarnation("returned", 2_000);
+        sim.add_worker(&returned);
+        sim.add_worker(&incarnation("steady", 4_000));
+        let reborn = Incarnation {
+            born: 2,
+            ..returned
+        };
+        sim.now += 1_000;
+        sim.add_worker(&reborn);
+        sim.heartbeat(&incarnation("steady", 4_000), 2, false);
+        sim.submit(job(vec![Step {
+            long_running: case.long_running,
+            ..step(1, 1_000)
+        }]));
+        let order = sim.start_tasks().pop().expect("the task is started");
+        assert_eq!(order.common.worker, case.worker, "{}", case.name);
+    }
+}
