--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -7,6 +7,7 @@
 //! or a socket.
 
 mod admission;
+mod assignment;
 mod backlog;
 mod capacity;
 mod crash;
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::mem;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -20,7 +19,6 @@
 use crate::Resources;
 use crate::Settings;
 use crate::Silence;
-use crate::Start;
 use crate::Status;
 use crate::Step;
 use crate::TaskId;
@@ -229,7 +227,7 @@
     }
 
     /// Clears the description and the task states of a job that has ended and has no assigned runs.
-    fn release_ended(&mut self, id: JobId) {
+    pub(crate) fn release_ended(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get_mut(&id)
             && job.status != Status::Open
             && job.assigned == 0
@@ -321,7 +319,7 @@
     }
 
     /// Returns the specification and the state of a task's step.
-    fn step_mut(&mut self, id: TaskId) -> Option<(&Step, &mut StepState)> {
+    pub(crate) fn step_mut(&mut self, id: TaskId) -> Option<(&Step, &mut StepState)> {
         let job = self.jobs.get_mut(&id.job)?;
         let spec = job.spec.steps.get(id.step as usize)?;
         let state = job
@@ -336,136 +334,8 @@
         step.tasks.get_mut(id.index as usize)
     }
 
-    /// Whether the state allows a start: the incarnation is current and accepts tasks, the job is
-    /// open, the dependencies are complete, and the task has no run.
-    fn may_start(&self, start: &Start) -> bool {
-        let id = start.task;
-        let Some(job) = self.jobs.get(&id.job) else {
-            return false;
-        };
-        let known = self.workers.get(&start.worker);
-        let accepts_tasks =
-            known.is_some_and(|w| w.incarnation.born == start.born && !w.left && !w.draining);
-        let task = job
-            .rounds
-            .get(id.round as usize)
-            .and_then(|r| r.get(id.step as usize))
-            .and_then(|s| s.tasks.get(id.index as usize));
-        let is_waiting = task.is_some_and(|t| !t.done && t.worker.is_none() && start.run > t.run);
-        accepts_tasks && is_waiting && job.status == Status::Open && job.is_ready(id.round, id.step)
-    }
-
-    fn apply_starts(&mut self, starts: &[Start]) -> Vec<Start> {
-        let mut accepted = Vec::new();
-        for start in starts {
-            let id = start.task;
-            let step = self
-                .jobs
-                .get(&id.job)
-                .and_then(|j| j.spec.steps.get(id.step as usize));
-            let all_allowed = match step {
-                Some(step) if step.gang => {
-                    let members = starts.iter().filter(|s| {
-                        crate::StepId::from(s.task) == crate::StepId::from(id) && s.run == start.run
-                    });
-                    let allowed = members.filter(|s| {
-                        let allowed_alone = self.may_start(s);
-                        allowed_alone || accepted.contains(*s)
-                    });
-                    allowed.count() == step.count as usize
-                }
-                Some(_) => self.may_start(start),
-                None => false,
-            };
-            if all_allowed {
-                self.assign(start);
-                accepted.push(start.clone());
-            }
-        }
-        accepted
-    }
-
-    fn assign(&mut self, start: &Start) {
-        let (id, at) = (start.task, self.at_ms);
-        let Some((step, state)) = self.step_mut(id) else {
-            return;
-        };
-        let (demand, resources) = (step.demand(), step.resources);
-        let counts = (u32::from(step.best_effort), u32::from(step.is_service()));
-        state.assigned += 1;
-        if let Some(task) = state.tasks.get_mut(id.index as usize) {
-            task.run = start.run;
-            task.worker = Some(start.worker.clone());
-            task.started_ms = at;
-        }
-        if let Some(worker) = self.workers.get_mut(&start.worker) {
-            worker.runs.insert((id, start.run));
-            worker.used = worker.used.plus(&demand);
-            worker.best_effort += counts.0;
-            worker.services += counts.1;
-            worker.last_start_ms = at;
-            // The order of the start contains a lease.
-            worker.silence = None;
-            // A worker gets runs only after it has answered.
-            if worker.replaced_ms.is_some() && worker.answered.is_none() {
-                self.lease_entries += 1;
-                worker.answered = Some(self.lease_entries);
-            }
-            // The worker has answered since the runs were released.
-            worker.released.clear();
-        }
-        if let Some(job) = self.jobs.get_mut(&id.job) {
-            job.begun = true;
-            job.assigned += 1;
-            let usage = self.usage.entry(job.team.clone()).or_default();
-            *usage = usage.plus(&resources);
-        }
-    }
-
-    /// Removes a run from its worker. Returns false if the run is not assigned.
-    fn unassign(&mut self, id: TaskId, run: u32) -> bool {
-        let Some((step, state)) = self.step_mut(id) else {
-            return false;
-        };
-        let (demand, resources) = (step.demand(), step.resources);
-        let counts = (u32::from(step.best_effort), u32::from(step.is_service()));
-        let Some(task) = state.tasks.get_mut(id.index as usize) else {
-            return false;
-        };
-        if task.run != run {
-            return false;
-        }
-        let Some(name) = task.worker.take() else {
-            return false;
-        };
-        let started_ms = mem::take(&mut task.started_ms);
-        task.received = false;
-        state.assigned -= 1;
-        if let Some(worker) = self.workers.get_mut(&name) {
-            worker.runs.remove(&(id, run));
-            worker.used = worker.used.minus(&demand);
-            worker.best_effort = worker.best_effort.saturating_sub(counts.0);
-            worker.services = worker.services.saturating_sub(counts.1);
-        }
-        if let Some(job) = self.jobs.get_mut(&id.job) {
-            job.assigned -= 1;
-            if let Some(usage) = self.usage.get_mut(&job.team) {
-                *usage = usage.minus(&resources);
-            }
-        }
-        self.clear_survivor(id, started_ms);
-        true
-    }
-
-    fn release_run(&mut self, id: TaskId, run: u32, checkpoint: &str) {
-        if self.unassign(id, run) {
-            self.store_checkpoint(id, checkpoint);
-            self.release_ended(id.job);
-        }
-    }
-
     /// Stores a checkpoint. A checkpoint of one gang member applies to the whole gang.
-    fn store_checkpoint(&mut self, id: TaskId, checkpoint: &str) {
+    pub(crate) fn store_checkpoint(&mut self, id: TaskId, checkpoint: &str) {
         if checkpoint.is_empty() {
             return;
         }
