plan: entries about leases name the incarnation and what they follow

Cause: the entries said what held for a name, not for the incarnation and the point of the log that their proposer knew.

Change: compare-and-set. Each start and each resumed renewal is a permit; an entry that stops the renewal holds the incarnation and the number of permits, and is void after a later one. Received runs name the incarnation. The renewal is resumed while the stop is still on its way, since their order no longer matters. The entry holds the wait for the earlier incarnation as well.

--- a/crates/zinnia-plan/src/assignment.rs
+++ b/crates/zinnia-plan/src/assignment.rs
@@ -78,7 +78,7 @@
             worker.services += counts.1;
             worker.last_start_ms = at;
             // The order of the start contains a lease.
-            worker.silence = None;
+            worker.permit_renewal();
             // A worker gets runs only after it has answered.
             if worker.replaced_ms.is_some() && worker.answered.is_none() {
                 self.lease_entries += 1;
@@ -112,7 +112,7 @@
             return false;
         };
         let started_ms = mem::take(&mut task.started_ms);
-        task.received = false;
+        task.received = None;
         state.assigned -= 1;
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.runs.remove(&(id, run));
--- a/crates/zinnia-plan/src/inherited.rs
+++ b/crates/zinnia-plan/src/inherited.rs
@@ -38,9 +38,9 @@
         }
     }
 
-    /// Longest time, from `now`, that it may still last.
+    /// Longest time, on the worker's clock, that it may last after a reading that arrives at `now`.
     pub(crate) fn remaining_ms(&self, now: Time) -> u64 {
-        lease::max_duration_ms(self.lease_ms).min(self.until.since(now))
+        self.lease_ms.min(self.until.since(now))
     }
 }
 
@@ -60,6 +60,8 @@
     born: i64,
     /// Until when the leases of the worker last if it is silent.
     silent_until: Option<Time>,
+    /// Until when the leases of its earlier incarnation last if it is silent.
+    received_until: Option<Time>,
     /// When it had answered for the first time, if it replaced an earlier incarnation.
     answered_at: Option<Time>,
 }
@@ -67,10 +69,15 @@
 /// Returns what this member knows about the leases of each worker at the start of a term.
 pub(crate) fn known_leases(state: &State, times: &LeaseTimes) -> BTreeMap<String, KnownLeases> {
     let known = |worker: &Worker| {
-        let lease_end = |s: Silence| Some(times.get(s.number)?.after(s.wait_ms));
+        let silence = worker.silence;
+        let lease_end = |wait: fn(Silence) -> u64| {
+            let silence = silence?;
+            Some(times.get(silence.number)?.after(wait(silence)))
+        };
         KnownLeases {
             born: worker.incarnation.born,
-            silent_until: worker.silence.and_then(lease_end),
+            silent_until: lease_end(|s| s.wait_ms),
+            received_until: lease_end(|s| s.received_ms),
             answered_at: worker.answered.and_then(|number| times.get(number)),
         }
     };
@@ -88,17 +95,23 @@
 }
 
 impl State {
-    /// Runs whose start order cannot have reached the worker's current incarnation, since it was carried out
-    /// by an earlier one or is too old.
-    fn runs_of_predecessor(&self, worker: &Worker) -> BTreeSet<(TaskId, u32)> {
-        let Some(replaced_ms) = worker.replaced_ms else {
+    /// Runs whose start order cannot have reached the incarnation that was born at `born`, since an earlier
+    /// one carried it out or it is too old.
+    fn runs_of_predecessor(&self, name: &str, born: i64) -> BTreeSet<(TaskId, u32)> {
+        let Some(worker) = self.workers.get(name) else {
             return BTreeSet::new();
         };
+        let replaced_ms = match worker.incarnation.born == born {
+            true => worker.replaced_ms.unwrap_or(i64::MIN),
+            // The new incarnation is not in the log yet.
+            false => self.at_ms,
+        };
         let delay_ms = i64::try_from(MAX_ORDER_DELAY_MS + MAX_CLOCK_SKEW_MS).unwrap_or(i64::MAX);
         let is_settled = |(id, run): &&(TaskId, u32)| {
             let is_old = |t: &Task| t.started_ms.saturating_add(delay_ms) < replaced_ms;
+            let is_received = |t: &Task| t.received.is_some_and(|by| by < born);
             let task = self.task(*id).filter(|t| t.run == *run);
-            task.is_some_and(|t| t.received || is_old(t))
+            task.is_some_and(|t| is_received(t) || is_old(t))
         };
         worker.runs.iter().filter(is_settled).copied().collect()
     }
@@ -159,7 +172,10 @@
                 lease_ms: max_lease_ms,
                 until: now.after(max_delayed_ms(max_lease_ms)),
             };
-            let predecessor = view.predecessor(now);
+            let mut predecessor = view.predecessor(now);
+            predecessor
+                .runs
+                .extend(state.runs_of_predecessor(worker, born));
             *view = WorkerView::new(index, born, view.fence + 1, now, inherited);
             view.predecessor = Some(predecessor);
         }
@@ -198,12 +214,13 @@
             until: silent_until.map_or(longest.until, |end| end.min(longest.until)),
             ..longest
         };
-        let Some(worker) = replaced.filter(|_| answered_at.is_none()) else {
+        if replaced.is_none() || answered_at.is_some() {
             return (inherited, None);
-        };
+        }
+        let received_until = known.and_then(|k| k.received_until);
         let predecessor = Predecessor {
-            runs: state.runs_of_predecessor(worker),
-            until: granted.until,
+            runs: state.runs_of_predecessor(name, born),
+            until: received_until.map_or(granted.until, |end| end.min(granted.until)),
         };
         (inherited, Some(predecessor))
     }
--- a/crates/zinnia-plan/src/job.rs
+++ b/crates/zinnia-plan/src/job.rs
@@ -37,9 +37,10 @@
     /// When the assigned run was assigned, in milliseconds since the Unix epoch; 0 without one.
     #[serde(rename = "b", skip_serializing_if = "is_default")]
     pub started_ms: i64,
-    /// Whether the start order of the assigned run is known to be carried out.
-    #[serde(rename = "c", skip_serializing_if = "std::ops::Not::not")]
-    pub received: bool,
+    /// Start time of the worker's incarnation that has carried out the start order of the assigned run;
+    /// `None` if that is not known.
+    #[serde(rename = "c", skip_serializing_if = "Option::is_none")]
+    pub received: Option<i64>,
     /// Whether the task is complete.
     #[serde(rename = "d", skip_serializing_if = "std::ops::Not::not")]
     pub done: bool,
--- a/crates/zinnia-plan/src/polls.rs
+++ b/crates/zinnia-plan/src/polls.rs
@@ -10,6 +10,7 @@
 use crate::Poll;
 use crate::Record;
 use crate::Report;
+use crate::ResumedRenewal;
 use crate::State;
 use crate::TaskId;
 use crate::Worker;
@@ -34,10 +35,13 @@
                 continue;
             }
             let answers = view.failed_calls == 0 && view.knows_clock();
-            if worker.silence.is_some() && answers && !is_idle {
-                // The next poll renews the lease, which must be in the log before.
+            if answers && !is_idle && (worker.silence.is_some() || view.stop_proposed.is_some()) {
+                // The next poll renews the lease, and an entry must allow that before.
                 view.next_poll = now.after(retry_ms);
-                plan.lease_changes.resumed.push(name.to_owned());
+                plan.lease_changes.resumed.push(ResumedRenewal {
+                    worker: name.to_owned(),
+                    born: view.born,
+                });
                 continue;
             }
             idle_polls += usize::from(is_idle);
--- a/crates/zinnia-plan/src/record.rs
+++ b/crates/zinnia-plan/src/record.rs
@@ -39,7 +39,7 @@
     }
 }
 
-/// Workers whose leases the leader stops or resumes to renew.
+/// Workers whose leases the leader stops or resumes to renew, and runs that workers have received.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LeaseChanges {
     /// Term of the leader.
@@ -50,10 +50,10 @@
     pub stopped: Vec<StoppedRenewal>,
     /// Workers whose leases may be renewed again.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub resumed: Vec<String>,
+    pub resumed: Vec<ResumedRenewal>,
     /// Runs of tasks that are to last whose start orders have been carried out.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub received: Vec<(TaskId, u32)>,
+    pub received: Vec<ReceivedRun>,
 }
 
 /// A worker whose leases are not renewed any more.
@@ -61,8 +61,34 @@
 pub struct StoppedRenewal {
     /// Name of the worker.
     pub worker: String,
+    /// Start time of its incarnation.
+    pub born: i64,
+    /// [`crate::Worker::permits`] when this was proposed. A later permit makes it void.
+    pub permits: u64,
     /// Time, in milliseconds, after which its leases have certainly expired.
     pub wait_ms: u64,
+    /// The same for the runs that an earlier incarnation received.
+    pub received_ms: u64,
+}
+
+/// A worker whose leases may be renewed again.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ResumedRenewal {
+    /// Name of the worker.
+    pub worker: String,
+    /// Start time of the incarnation that answers.
+    pub born: i64,
+}
+
+/// A run whose start order has been carried out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReceivedRun {
+    /// Task that the run belongs to.
+    pub task: TaskId,
+    /// Number of the run within the task.
+    pub run: u32,
+    /// Start time of the worker's incarnation that received it.
+    pub born: i64,
 }
 
 impl LeaseChanges {
--- a/crates/zinnia-plan/src/silence.rs
+++ b/crates/zinnia-plan/src/silence.rs
@@ -13,8 +13,10 @@
 use crate::Leader;
 use crate::LeaseChanges;
 use crate::Plan;
+use crate::ReceivedRun;
 use crate::State;
 use crate::StoppedRenewal;
+use crate::Worker;
 use crate::worker_view::WorkerView;
 use crate::worker_view::current_workers;
 
@@ -32,6 +34,8 @@
     pub number: u64,
     /// Time, in milliseconds, after which the leases that it had at the proposal have expired.
     pub wait_ms: u64,
+    /// The same for the runs that an earlier incarnation received.
+    pub received_ms: u64,
 }
 
 /// When a member applied the entries that list workers whose leases are renewed no more, or again, on
@@ -81,11 +85,12 @@
             }
             return;
         };
-        for &(id, run) in &changes.received {
-            if let Some(task) = self.task_mut(id)
-                && task.run == run
+        for received in &changes.received {
+            if let Some(task) = self.task_mut(received.task)
+                && task.run == received.run
+                && task.worker.is_some()
             {
-                task.received = task.worker.is_some();
+                task.received = Some(received.born);
             }
         }
         if changes.stopped.is_empty() && changes.resumed.is_empty() {
@@ -93,21 +98,40 @@
         }
         self.lease_entries += 1;
         let number = self.lease_entries;
-        for name in &changes.resumed {
-            if let Some(worker) = self.workers.get_mut(name) {
-                worker.silence = None;
+        for resumed in &changes.resumed {
+            if let Some(worker) = self.incarnation_mut(&resumed.worker, resumed.born) {
+                worker.permit_renewal();
                 if worker.replaced_ms.is_some() {
                     worker.answered.get_or_insert(number);
                 }
             }
         }
         for stopped in &changes.stopped {
-            if let Some(worker) = self.workers.get_mut(&stopped.worker) {
-                let wait_ms = stopped.wait_ms;
-                worker.silence.get_or_insert(Silence { number, wait_ms });
+            // A start or a resumed renewal since the proposal may have granted a later lease.
+            if let Some(worker) = self.incarnation_mut(&stopped.worker, stopped.born)
+                && worker.permits == stopped.permits
+            {
+                worker.silence.get_or_insert(Silence {
+                    number,
+                    wait_ms: stopped.wait_ms,
+                    received_ms: stopped.received_ms,
+                });
             }
         }
     }
+
+    fn incarnation_mut(&mut self, name: &str, born: i64) -> Option<&mut Worker> {
+        let worker = self.workers.get_mut(name)?;
+        (worker.incarnation.born == born).then_some(worker)
+    }
+}
+
+impl Worker {
+    /// Allows the renewal of the worker's leases.
+    pub(crate) fn permit_renewal(&mut self) {
+        self.permits += 1;
+        self.silence = None;
+    }
 }
 
 impl WorkerView {
@@ -124,9 +148,13 @@
         for (_, view, worker) in current_workers(&mut self.views, state) {
             for key in view.new_runs.drain(..) {
                 let is_lasting = state.step(key.0).is_some_and(|s| s.long_running);
-                let is_told = state.task(key.0).is_none_or(|t| t.received);
+                let is_told = state.task(key.0).is_none_or(|t| t.received.is_some());
                 if is_lasting && !is_told && worker.runs.contains(&key) {
-                    plan.lease_changes.received.push(key);
+                    plan.lease_changes.received.push(ReceivedRun {
+                        task: key.0,
+                        run: key.1,
+                        born: view.born,
+                    });
                 }
             }
         }
@@ -142,9 +170,14 @@
             let is_proposed = view.stop_proposed.is_some();
             if (view.renews_no_lease() || is_proposed) && !view.stop_proposed.is_some_and(is_open) {
                 view.stop_proposed = Some(now);
+                let wait_ms = view.remaining_lease_ms(now);
+                let predecessor = view.predecessor.as_ref();
                 plan.lease_changes.stopped.push(StoppedRenewal {
                     worker: name.to_owned(),
-                    wait_ms: view.remaining_lease_ms(now),
+                    born: view.born,
+                    permits: worker.permits,
+                    wait_ms,
+                    received_ms: predecessor.map_or(wait_ms, |p| p.until.since(now)),
                 });
             }
         }
@@ -157,8 +190,8 @@
                 view.stop_proposed = None;
             }
         }
-        for name in &changes.resumed {
-            if let Some(view) = self.views.get_mut(name) {
+        for resumed in &changes.resumed {
+            if let Some(view) = self.views.get_mut(&resumed.worker) {
                 view.next_poll = view.next_poll.min(now);
             }
         }
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -48,6 +48,9 @@
     /// earlier incarnation.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub answered: Option<u64>,
+    /// Number of entries that allowed the renewal of its leases.
+    #[serde(default)]
+    pub permits: u64,
     /// Since when its leases are not renewed; `None` if they may be.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub silence: Option<Silence>,
--- a/crates/zinnia-plan/tests/lease.rs
+++ b/crates/zinnia-plan/tests/lease.rs
@@ -4,19 +4,16 @@
 
 use common::Simulation;
 use common::WORKER_CLOCK_LEAD_MS;
-use common::document;
 use common::incarnation;
 use common::job;
 use common::run_key;
 use common::simulation_with_run;
 use common::step;
 use common::task;
-use zinnia_plan::Incarnation;
-use zinnia_plan::LeaseChanges;
+use zinnia_plan::Poll;
 use zinnia_plan::Record;
 use zinnia_plan::Settings;
 use zinnia_plan::StartOutcome;
-use zinnia_plan::Step;
 use zinnia_plan::lease_bound_ms;
 use zinnia_types::Time;
 
@@ -188,55 +185,6 @@
     assert!(sim.state.task(order.common.task).unwrap().worker.is_none());
 }
 
-/// Guards against a new leader that forgets that delayed orders may have reached a new incarnation.
-#[test]
-fn new_leader_awaits_delayed_orders_to_new_incarnation() {
-    struct Case {
-        name: &'static str,
-        /// Time between the new incarnation and the change of the leader.
-        replaced_before_ms: u64,
-        /// Longest time after the change in which an order to the earlier incarnation may arrive.
-        delay_ms: u64,
-        lease_ms: u64,
-    }
-    let cases = [
-        Case {
-            name: "new incarnation",
-            replaced_before_ms: 500,
-            delay_ms: 12_000,
-            lease_ms: 10_000,
-        },
-        Case {
-            name: "orders to the earlier incarnation cannot arrive any more",
-            replaced_before_ms: 25_000,
-            delay_ms: 0,
-            lease_ms: 7_000,
-        },
-    ];
-    for case in cases {
-        let (mut sim, _) = simulation_with_run();
-        let reborn = Incarnation {
-            born: 2,
-            ..incarnation("w", 4_000)
-        };
-        sim.heartbeat(&reborn, 1, false);
-        sim.now += case.replaced_before_ms;
-        sim.apply(Record::Release(Vec::new()));
-        sim.change_leader(2);
-        let after = sim.wait_for_release().expect("the runs are released");
-        assert!(
-            after > case.delay_ms + case.lease_ms * 100 / 98,
-            "{}: released after {after} ms",
-            case.name
-        );
-        assert!(
-            after < case.delay_ms + case.lease_ms * 11 / 10,
-            "{}: released after {after} ms",
-            case.name
-        );
-    }
-}
-
 /// Guards against an entry before the first pass of a term that erases the bound of earlier leases.
 #[test]
 fn entry_before_first_pass_keeps_lease_bound() {
@@ -275,18 +223,25 @@
         let mut reported = 0;
         for _ in 0..4 {
             sim.poll_failed(&poll);
-            let mut plan = sim.plan_after(500);
-            reported += plan.silent.len();
-            poll = plan.polls.remove(0);
+            poll = next_poll(&mut sim, &mut reported).expect("a poll is due");
         }
         assert_eq!(reported, 1, "silence {silence}");
         sim.report(&poll, &[run_key(&order)], Vec::new());
-        let mut plan = sim.plan_after(100);
-        assert_eq!(plan.silent, [], "the worker answers");
-        poll = plan.polls.remove(0);
+        poll = next_poll(&mut sim, &mut reported).expect("a poll is due");
+        assert_eq!(reported, 1, "the worker answers");
     }
 }
 
+/// Plans until a poll is due, and counts the workers that are reported as silent.
+fn next_poll(sim: &mut Simulation, reported: &mut usize) -> Option<Poll> {
+    (0..20).find_map(|_| {
+        sim.now += 50;
+        let mut plan = sim.plan_and_tell();
+        *reported += plan.silent.len();
+        plan.polls.pop()
+    })
+}
+
 /// Guards against a start order that extends the lease of a worker which is already lost.
 #[test]
 fn start_order_to_lost_worker_extends_no_lease() {
@@ -367,97 +322,6 @@
     }
 }
 
-/// Guards against tasks of a crashed worker that wait for delayed orders, which only matter for runs that
-/// the crashed incarnation did not receive, if the next incarnation is lost before its first answer.
-#[test]
-fn received_runs_do_not_wait_for_delayed_orders() {
-    struct Case {
-        name: &'static str,
-        /// Whether the start order of the run was answered before the crash.
-        received: bool,
-        /// Whether the log tells so.
-        told: bool,
-        /// Time between the start of the run and the next incarnation.
-        age_ms: u64,
-        /// Whether the leader is lost with the next incarnation.
-        leader_lost: bool,
-        in_time: bool,
-    }
-    let cases = [
-        Case {
-            name: "received",
-            received: true,
-            told: false,
-            age_ms: 1_000,
-            leader_lost: false,
-            in_time: true,
-        },
-        Case {
-            name: "not answered",
-            received: false,
-            told: false,
-            age_ms: 1_000,
-            leader_lost: false,
-            in_time: false,
-        },
-        Case {
-            name: "a new leader does not know that it was received",
-            received: true,
-            told: false,
-            age_ms: 1_000,
-            leader_lost: true,
-            in_time: false,
-        },
-        Case {
-            name: "a new leader, received as the log tells",
-            received: true,
-            told: true,
-            age_ms: 1_000,
-            leader_lost: true,
-            in_time: true,
-        },
-        Case {
-            name: "a new leader, started too long ago for a delayed order",
-            received: false,
-            told: false,
-            age_ms: 18_000,
-            leader_lost: true,
-            in_time: true,
-        },
-    ];
-    for case in cases {
-        let (mut sim, order) = simulation_with_run();
-        if !case.received {
-            sim.start_answered(&order, &StartOutcome::Unknown);
-        }
-        if case.told {
-            let received = LeaseChanges {
-                received: vec![run_key(&order)],
-                ..LeaseChanges::default()
-            };
-            sim.apply_batch(Vec::new(), received);
-        }
-        sim.now += case.age_ms;
-        let reborn = Incarnation {
-            born: 2,
-            ..incarnation("w", 4_000)
-        };
-        sim.heartbeat(&reborn, 1, false);
-        let lost_ms = sim.now;
-        if case.leader_lost {
-            sim.change_leader(2);
-        }
-        sim.wait_for_release().expect("the runs are released");
-        let after = sim.now - lost_ms;
-        assert_eq!(
-            after <= RESTART_MS - ELECTION_AND_START_MS,
-            case.in_time,
-            "{}: released after {after} ms",
-            case.name
-        );
-    }
-}
-
 /// Guards against a wait that a new leader counts in full from the entry about a silent worker, whose
 /// leases had lasted for some time when the leader noticed the silence.
 #[test]
@@ -481,84 +345,3 @@
         "released {after} ms after the loss"
     );
 }
-
-/// Guards against a new leader that waits anew for the leases of a silent worker because the worker had
-/// crashed and returned shortly before.
-#[test]
-fn silence_of_a_replaced_worker_counts() {
-    let (mut sim, _) = simulation_with_run();
-    let reborn = Incarnation {
-        born: 2,
-        ..incarnation("w", 4_000)
-    };
-    sim.heartbeat(&reborn, 1, false);
-    sim.now += 100;
-    let poll = sim.plan_and_tell().polls.remove(0);
-    sim.report(&poll, &[], Vec::new());
-    sim.now += 4_000;
-    sim.heartbeat(&reborn, 2, false);
-    let starts = sim.plan_and_tell().starts;
-    let order = sim.start(starts).pop().expect("the task runs again");
-    let clock_ms = sim.now + WORKER_CLOCK_LEAD_MS;
-    sim.start_answered(&order, &StartOutcome::Accepted { clock_ms });
-    let lost_ms = sim.now;
-    sim.now += 2_000;
-    let poll = sim.plan_and_tell().polls.remove(0);
-    sim.poll_failed(&poll);
-    sim.now += 100;
-    sim.plan_and_tell();
-    sim.now += 3_000;
-    sim.change_leader(2);
-    sim.wait_for_release().expect("the runs are released");
-    let after = sim.now - lost_ms;
-    assert!(
-        after > Settings::default().lease_ms * 100 / 98,
-        "{after} ms"
-    );
-    assert!(
-        after <= RESTART_MS - ELECTION_AND_START_MS,
-        "released {after} ms after the loss"
-    );
-}
-
-/// Guards against a task that is to last on a worker that has just crashed and returned: if it is lost
-/// again, the task waits for a lease of a delayed order.
-#[test]
-fn lasting_tasks_avoid_workers_with_long_leases() {
-    struct Case {
-        name: &'static str,
-        long_running: bool,
-        worker: &'static str,
-    }
-    let cases = [
-        Case {
-            name: "task that ends",
-            long_running: false,
-            worker: "returned",
-        },
-        Case {
-            name: "task that is to last",
-            long_running: true,
-            worker: "steady",
-        },
-    ];
-    for case in cases {
-        let mut sim = Simulation::new(document(None));
-        let returned = incarnation("returned", 2_000);
-        sim.add_worker(&returned);
-        sim.add_worker(&incarnation("steady", 4_000));
-        let reborn = Incarnation {
-            born: 2,
-            ..returned
-        };
-        sim.now += 1_000;
-        sim.add_worker(&reborn);
-        sim.heartbeat(&incarnation("steady", 4_000), 2, false);
-        sim.submit(job(vec![Step {
-            long_running: case.long_running,
-            ..step(1, 1_000)
-        }]));
-        let order = sim.start_tasks().pop().expect("the task is started");
-        assert_eq!(order.common.worker, case.worker, "{}", case.name);
-    }
-}
--- a/crates/zinnia-plan/tests/silence.rs
+++ b/crates/zinnia-plan/tests/silence.rs
@@ -11,8 +11,11 @@
 use zinnia_plan::Batch;
 use zinnia_plan::Incarnation;
 use zinnia_plan::LeaseChanges;
+use zinnia_plan::ReceivedRun;
 use zinnia_plan::Record;
+use zinnia_plan::ResumedRenewal;
 use zinnia_plan::Settings;
+use zinnia_plan::StartOrder;
 use zinnia_plan::StartOutcome;
 use zinnia_plan::StoppedRenewal;
 
@@ -22,12 +25,20 @@
 fn changes(term: u64, stopped: &[&str], resumed: &[&str]) -> LeaseChanges {
     let stop = |&name: &&str| StoppedRenewal {
         worker: name.to_owned(),
+        born: 1,
+        // The run of the simulation was started there.
+        permits: 1,
         wait_ms: Settings::default().lease_ms * 103 / 100,
+        received_ms: 0,
+    };
+    let resume = |&name: &&str| ResumedRenewal {
+        worker: name.to_owned(),
+        born: 1,
     };
     LeaseChanges {
         term,
         stopped: stopped.iter().map(stop).collect(),
-        resumed: resumed.iter().map(|&name| name.to_owned()).collect(),
+        resumed: resumed.iter().map(resume).collect(),
         ..LeaseChanges::default()
     }
 }
@@ -147,13 +158,17 @@
     assert_eq!(stopped, ["w"]);
     let stop = plan.lease_changes;
     sim.report(&plan.polls.remove(0), &[run_key(&order)], Vec::new());
-    let poll = sim.plan_after(10).polls.remove(0);
-    assert_eq!(poll.deadline_ms, None, "the entry is not applied yet");
-    sim.apply_batch(Vec::new(), stop);
-    sim.report(&poll, &[run_key(&order)], Vec::new());
     let plan = sim.plan_after(10);
     assert_eq!(plan.polls, [], "the renewal is not in the log yet");
-    assert_eq!(plan.lease_changes.resumed, ["w"]);
+    let resumed: Vec<_> = plan
+        .lease_changes
+        .resumed
+        .iter()
+        .map(|r| &r.worker)
+        .collect();
+    assert_eq!(resumed, ["w"]);
+    sim.apply_batch(Vec::new(), stop);
+    assert_eq!(sim.plan_after(10).polls, [], "the log forbids it");
     sim.apply_batch(Vec::new(), plan.lease_changes);
     let poll = sim.plan_after(10).polls.remove(0);
     assert!(poll.deadline_ms.is_some(), "the lease is renewed at once");
@@ -188,10 +203,16 @@
         batch.drop_outdated(case.entry_term);
         let left = batch.lease_changes.expect("the list stays");
         assert_eq!(left.stopped.len(), case.stopped, "{}", case.name);
-        assert_eq!(left.resumed, ["v"], "{}", case.name);
+        assert_eq!(left.resumed.len(), 1, "{}", case.name);
     }
 }
 
+fn received(order: &StartOrder) -> ReceivedRun {
+    let (task, run) = run_key(order);
+    let born = order.common.born;
+    ReceivedRun { task, run, born }
+}
+
 /// Guards against a run of a task that is to last which a new leader takes for one that a delayed order may
 /// still start, and against an entry for each run of other tasks.
 #[test]
@@ -213,10 +234,80 @@
             told.extend(sim.plan_after(100).lease_changes.received);
         }
         let expected = if long_running {
-            vec![run_key(&order)]
+            vec![received(&order)]
         } else {
             Vec::new()
         };
         assert_eq!(told, expected, "long-running: {long_running}");
     }
 }
+
+/// Guards against an entry that stops the renewal, was proposed a second time because the first one was
+/// slow, and is applied after a start that granted a later lease.
+#[test]
+fn repeated_stop_does_not_undo_a_start() {
+    let (mut sim, order) = simulation_with_run();
+    let poll = sim.plan().polls.remove(0);
+    sim.now += 2_200;
+    sim.poll_failed(&poll);
+    let mut plan = sim.plan_after(400);
+    let first = plan.lease_changes;
+    assert_eq!(first.stopped.len(), 1);
+    sim.report(&plan.polls.remove(0), &[run_key(&order)], Vec::new());
+    sim.submit_to("quick", 2, job(vec![step(1, 1_000)]));
+    let starts = sim.plan_after(50).starts;
+    assert_eq!(starts.len(), 1);
+    let second = sim.plan_after(400).lease_changes;
+    assert_eq!(
+        second.stopped.len(),
+        1,
+        "the first entry is not applied yet"
+    );
+    sim.apply_batch(Vec::new(), first);
+    let later = sim.start(starts).pop().expect("the order is sent");
+    sim.apply_batch(Vec::new(), second);
+    let deadline = later.deadline_ms - common::WORKER_CLOCK_LEAD_MS;
+    sim.start_answered(&later, &StartOutcome::Unknown);
+    sim.now += 600;
+    sim.change_leader(2);
+    sim.wait_for_release().expect("the runs are released");
+    assert!(
+        sim.now > deadline,
+        "released at {} ms, lease until {deadline} ms",
+        sim.now
+    );
+}
+
+/// Guards against a healthy worker whose lease is renewed late after a change of the leader.
+#[test]
+fn lease_is_renewed_soon_after_a_change_of_the_leader() {
+    const COMMIT_MS: u64 = 20;
+    const ANSWER_MS: u64 = 5;
+    let (mut sim, order) = simulation_with_run();
+    sim.now += 1_000;
+    sim.change_leader(2);
+    let start_ms = sim.now;
+    let mut commits: Vec<(u64, LeaseChanges)> = Vec::new();
+    loop {
+        sim.now += ANSWER_MS;
+        while commits.first().is_some_and(|(at, _)| *at <= sim.now) {
+            let (_, changes) = commits.remove(0);
+            sim.apply_batch(Vec::new(), changes);
+        }
+        let plan = sim.plan();
+        if !plan.lease_changes.is_empty() {
+            commits.push((sim.now + COMMIT_MS, plan.lease_changes));
+        }
+        let Some(poll) = plan.polls.into_iter().next() else {
+            continue;
+        };
+        if poll.deadline_ms.is_some() {
+            break;
+        }
+        sim.now += ANSWER_MS;
+        sim.report(&poll, &[run_key(&order)], Vec::new());
+    }
+    let after = sim.now - start_ms;
+    let limit_ms = Settings::default().retry_ms;
+    assert!(after < limit_ms, "first renewal after {after} ms");
+}
