plan: a run that the next incarnation accepted does not end with the one before

Cause: the answer to a start order names no incarnation. If the worker crashed and returned before the order arrived, the answer of the next incarnation made the run one of the incarnation before, whose leases end earlier.

Change: an answer whose clock reading is well below the readings of the incarnation counts as none; the next poll tells where the run is.

--- a/crates/zinnia-plan/src/orders.rs
+++ b/crates/zinnia-plan/src/orders.rs
@@ -10,6 +10,7 @@
 use crate::StartOutcome;
 use crate::State;
 use crate::StepId;
+use crate::worker_view::MAX_ANSWER_DELAY_MS;
 use crate::worker_view::OrderState;
 use crate::worker_view::SentOrder;
 
@@ -96,8 +97,15 @@
         if view.born != order.born {
             return None;
         }
+        let last_ms = view.last_reading_ms();
+        let is_own_clock = |clock_ms: u64| clock_ms.saturating_add(MAX_ANSWER_DELAY_MS) >= last_ms;
         let sent_order = view.orders.get_mut(&(order.task, order.run))?;
         match outcome {
+            // The next incarnation, whose clock restarted, may have answered. Its first poll tells.
+            StartOutcome::Accepted { clock_ms } if !is_own_clock(*clock_ms) => {
+                sent_order.state = OrderState::Unknown;
+                None
+            }
             StartOutcome::Accepted { clock_ms } => {
                 let clock_ms = *clock_ms;
                 sent_order.state = OrderState::Accepted { at: now, clock_ms };
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -21,7 +21,7 @@
 use crate::worker_index::WorkerIndex;
 
 /// Longest time that the reading of a clock in an answer of a worker takes to arrive.
-const MAX_ANSWER_DELAY_MS: u64 = 3_000;
+pub(crate) const MAX_ANSWER_DELAY_MS: u64 = 3_000;
 
 /// Longest time by which a heartbeat may be delayed.
 const MAX_HEARTBEAT_DELAY_MS: u64 = 12_000;
@@ -261,6 +261,11 @@
         Some(clock.saturating_add(passed - lag))
     }
 
+    /// Highest reading of the worker's clock; 0 without any.
+    pub(crate) fn last_reading_ms(&self) -> u64 {
+        self.last_reading.map_or(0, |(clock_ms, _)| clock_ms)
+    }
+
     /// Whether the worker has told its clock, without which it gets no lease.
     pub(crate) fn knows_clock(&self) -> bool {
         self.last_reading.is_some()
--- a/crates/zinnia-plan/tests/incarnations.rs
+++ b/crates/zinnia-plan/tests/incarnations.rs
@@ -336,3 +336,24 @@
     let after = sim.now - lost_ms;
     assert!(after <= RELEASE_MS, "released after {after} ms");
 }
+
+/// Guards against a run that the next incarnation has started, by an order to the one before, and that counts
+/// as a run of the one before.
+#[test]
+fn run_that_the_next_incarnation_accepted_waits_for_its_lease() {
+    let mut sim = Simulation::new(document(None));
+    sim.add_worker(&incarnation("w", 4_000));
+    sim.submit(job(vec![step(1, 1_000)]));
+    let order = sim.start_tasks().pop().expect("the task is started");
+    sim.now += 150;
+    // The clock of the next incarnation has just started.
+    sim.start_answered(&order, &StartOutcome::Accepted { clock_ms: 40 });
+    let accepted_ms = sim.now;
+    sim.heartbeat(&reborn(), 1, false);
+    sim.wait_for_release().expect("the runs are released");
+    let after = sim.now - accepted_ms;
+    assert!(
+        after > 10_000 * 100 / 98,
+        "released {after} ms after the start"
+    );
+}
