plan: the times of lease entries have a file of their own, clearer names

silence.rs held the clock of a member, the replicated part and the leader's part. No change of behaviour; the interval of repeated proposals is the setting that exists for it.

--- a/crates/zinnia-control/src/context.rs
+++ b/crates/zinnia-control/src/context.rs
@@ -35,7 +35,7 @@
 #[derive(Default)]
 pub(crate) struct CellState {
     pub(crate) state: State,
-    /// When this member learned of silent workers.
+    /// When this member applied the entries about leases.
     pub(crate) lease_times: LeaseTimes,
     pub(crate) leader: Option<Leader>,
     /// Jobs whose submission was proposed in this term and has no outcome yet.
--- a/crates/zinnia-plan/src/assignment.rs
+++ b/crates/zinnia-plan/src/assignment.rs
@@ -80,9 +80,9 @@
             // The order of the start contains a lease.
             worker.permit_renewal();
             // A worker gets runs only after it has answered.
-            if worker.replaced_ms.is_some() && worker.answered.is_none() {
+            if worker.replaced_ms.is_some() && worker.answer_entry.is_none() {
                 self.lease_entries += 1;
-                worker.answered = Some(self.lease_entries);
+                worker.answer_entry = Some(self.lease_entries);
             }
             // The worker has answered since the runs were released.
             worker.released.clear();
--- a/crates/zinnia-plan/src/inherited.rs
+++ b/crates/zinnia-plan/src/inherited.rs
@@ -78,7 +78,7 @@
             born: worker.incarnation.born,
             silent_until: lease_end(|s| s.wait_ms),
             received_until: lease_end(|s| s.received_ms),
-            answered_at: worker.answered.and_then(|number| times.get(number)),
+            answered_at: worker.answer_entry.and_then(|number| times.get(number)),
         }
     };
     let is_known = |k: &KnownLeases| k.silent_until.is_some() || k.answered_at.is_some();
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -53,7 +53,7 @@
 
 impl Leader {
     /// Creates the state of a leader whose term begins at `now`; `state` is what earlier leaders have
-    /// left, `lease_times` when this member learned of the leases that they stopped to renew.
+    /// left, `lease_times` when this member applied their entries about leases.
     pub fn new(
         settings: Settings,
         term: u64,
@@ -143,7 +143,7 @@
             self.report_silent(state, now, &mut plan);
             self.expire_leases(state, now, &mut plan);
             self.stop_renewals(state, now, &mut plan);
-            self.tell_received(state, &mut plan);
+            self.record_received(state, &mut plan);
             self.stop_runs(state, now, &mut plan);
             self.decisions
                 .retain(|step, _| state.live.contains(&step.job));
--- a/crates/zinnia-plan/src/plan.rs
+++ b/crates/zinnia-plan/src/plan.rs
@@ -179,7 +179,7 @@
     pub polls: Vec<Poll>,
     /// Runs to stop.
     pub stops: Vec<RunOrder>,
-    /// Workers whose leases are renewed no more, or again; to be proposed to the log.
+    /// Changes of the renewal of leases, to be proposed to the log.
     pub lease_changes: LeaseChanges,
     /// Workers with runs that have stopped answering.
     pub silent: Vec<SilentWorker>,
--- a/crates/zinnia-plan/src/silence.rs
+++ b/crates/zinnia-plan/src/silence.rs
@@ -1,9 +1,7 @@
-//! Workers that do not answer: when the renewal of their leases stopped.
+//! Workers whose leases are not renewed, because they do not answer.
 //!
-//! The leader tells the other members through the log, so that a new leader counts the wait for
-//! these leases from that entry and not from its own term.
-
-use std::collections::BTreeMap;
+//! The leader records that in the log, so that a new leader counts the wait for these leases from the
+//! entry and not from its own term.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -20,14 +18,7 @@
 use crate::worker_view::WorkerView;
 use crate::worker_view::current_workers;
 
-/// Number of entries whose time of application a member keeps. For older ones the wait counts from
-/// the term of the new leader.
-const MAX_TIMES: u64 = 1_024;
-
-/// Interval after which a proposed change is proposed again if it was not applied.
-const RETRY_MS: u64 = 400;
-
-/// The last renewal of a worker's lease.
+/// How long the leases of a worker last that are not renewed any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Silence {
     /// Number of the entry that stopped the renewal, as in [`State::lease_entries`].
@@ -38,44 +29,6 @@
     pub received_ms: u64,
 }
 
-/// When a member applied the entries that list workers whose leases are renewed no more, or again, on
-/// its own clock.
-///
-/// An entry is applied after it was proposed, so that a lease which was granted before has expired
-/// once its length has passed since the application.
-#[derive(Debug, Default)]
-pub struct LeaseTimes {
-    times: BTreeMap<u64, Time>,
-}
-
-impl LeaseTimes {
-    /// Records that the latest entry in `state` was applied at `now`.
-    pub fn applied(&mut self, state: &State, now: Time) {
-        let known = self.times.last_key_value().map_or(0, |(number, _)| *number);
-        let oldest = state.lease_entries.saturating_sub(MAX_TIMES);
-        for number in known.max(oldest)..state.lease_entries {
-            self.times.insert(number + 1, now);
-        }
-        while self
-            .times
-            .first_key_value()
-            .is_some_and(|(number, _)| *number <= oldest)
-        {
-            self.times.pop_first();
-        }
-    }
-
-    /// Forgets all times. Numbers of a state from a snapshot may count other entries.
-    pub fn clear(&mut self) {
-        self.times.clear();
-    }
-
-    /// When this member applied the entry with this number.
-    pub(crate) fn get(&self, number: u64) -> Option<Time> {
-        self.times.get(&number).copied()
-    }
-}
-
 impl State {
     pub(crate) fn apply_lease_changes(&mut self, batch: &Batch) {
         let Some(changes) = &batch.lease_changes else {
@@ -102,7 +55,7 @@
             if let Some(worker) = self.incarnation_mut(&resumed.worker, resumed.born) {
                 worker.permit_renewal();
                 if worker.replaced_ms.is_some() {
-                    worker.answered.get_or_insert(number);
+                    worker.answer_entry.get_or_insert(number);
                 }
             }
         }
@@ -142,14 +95,14 @@
 }
 
 impl Leader {
-    /// Requests the entry that tells which runs of tasks that are to last were received. Only these must
-    /// start again within a bound, and an entry for each run of other tasks would double the log.
-    pub(crate) fn tell_received(&mut self, state: &State, plan: &mut Plan) {
+    /// Requests the entry about received runs of tasks that are to last. Only these must start again within
+    /// a bound, and an entry for each run of other tasks would double the log.
+    pub(crate) fn record_received(&mut self, state: &State, plan: &mut Plan) {
         for (_, view, worker) in current_workers(&mut self.views, state) {
             for key in view.new_runs.drain(..) {
                 let is_lasting = state.step(key.0).is_some_and(|s| s.long_running);
-                let is_told = state.task(key.0).is_none_or(|t| t.received.is_some());
-                if is_lasting && !is_told && worker.runs.contains(&key) {
+                let is_recorded = state.task(key.0).is_none_or(|t| t.received.is_some());
+                if is_lasting && !is_recorded && worker.runs.contains(&key) {
                     plan.lease_changes.received.push(ReceivedRun {
                         task: key.0,
                         run: key.1,
@@ -162,11 +115,12 @@
 
     /// Requests the entry that stops the renewal of the leases of workers that do not answer.
     pub(crate) fn stop_renewals(&mut self, state: &State, now: Time, plan: &mut Plan) {
+        let retry_ms = self.settings.retry_ms;
         for (name, view, worker) in current_workers(&mut self.views, state) {
             if worker.runs.is_empty() || worker.silence.is_some() {
                 continue;
             }
-            let is_open = |at: Time| now.since(at) < RETRY_MS;
+            let is_open = |at: Time| now.since(at) < retry_ms;
             let is_proposed = view.stop_proposed.is_some();
             if (view.renews_no_lease() || is_proposed) && !view.stop_proposed.is_some_and(is_open) {
                 view.stop_proposed = Some(now);
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -44,10 +44,10 @@
     /// epoch; `None` if it did not.
     #[serde(rename = "replaced", default)]
     pub replaced_ms: Option<i64>,
-    /// Entry that told of its first answer, as in [`State::lease_entries`]; only if it replaced an
-    /// earlier incarnation.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub answered: Option<u64>,
+    /// Number of the entry after which the incarnation had answered for the first time, as in
+    /// [`State::lease_entries`]; only if it replaced an earlier one.
+    #[serde(rename = "answered", default, skip_serializing_if = "Option::is_none")]
+    pub answer_entry: Option<u64>,
     /// Number of entries that allowed the renewal of its leases.
     #[serde(default)]
     pub permits: u64,
@@ -87,7 +87,7 @@
     /// does not contain it.
     #[serde(rename = "lease", default)]
     pub lease_bound: Option<u64>,
-    /// Number of entries that listed workers whose leases are renewed no more, or again.
+    /// Number of entries that stopped or resumed the renewal of leases.
     #[serde(default)]
     pub lease_entries: u64,
     /// Text of the current document as received.
