replica: a follower that writes a commit index to a slow disk still answers the leader

Cause: while a write takes longer than a heartbeat, a follower sends the leader a reply that only shows that it is alive. It sent none while a step blocked the others. With `durable_commit`, which the daemon uses, every write with a new commit index blocks, so under load there was no such reply: two followers whose syncs took longer than the election timeout deposed a healthy leader.

Change: only a write of a new term or vote withholds the reply. The reply claims nothing about the log or the commit index.

`follower_sends_nothing_in_a_term_that_is_not_stored` runs in both modes as well.

--- a/crates/zinnia-replica/src/disk.rs
+++ b/crates/zinnia-replica/src/disk.rs
@@ -40,6 +40,8 @@
     submitted: u64,
     /// Number of the last job that is synced.
     synced: u64,
+    /// Number of the last job that writes a new term or vote.
+    vote_job: u64,
     /// When the oldest job that is not synced was submitted, or a job before it was synced.
     waiting_since: Time,
     queue: VecDeque<Waiting>,
@@ -72,6 +74,7 @@
             commands,
             submitted: 0,
             synced: 0,
+            vote_job: 0,
             waiting_since: Time::default(),
             queue: VecDeque::new(),
             blocking: 0,
@@ -93,6 +96,11 @@
         }
     }
 
+    /// Records that the last submitted job writes a new term or vote.
+    pub(crate) fn mark_vote(&mut self) {
+        self.vote_job = self.submitted;
+    }
+
     /// Saves a snapshot and waits for it. Returns `false` if the store is closed.
     pub(crate) fn save_now(&self, snapshot: &Snapshot) -> Result<bool, StoreError> {
         let Some(commands) = &self.commands else {
@@ -169,8 +177,9 @@
     /// Without it, a leader whose followers have slow disks would lose contact to them.
     pub(crate) fn contact_reply(&mut self, limit_ms: u64, now: Time) -> Option<(VmId, Message)> {
         let is_slow = self.synced < self.submitted && now.since(self.waiting_since) >= limit_ms;
-        // A message in a new term must not be sent before the term is stored.
-        if !is_slow || self.is_blocked() {
+        // A message in a new term must not be sent before the term is stored. Other writes need no
+        // wait, since the reply claims nothing about the log or the commit index.
+        if !is_slow || self.synced < self.vote_job {
             return None;
         }
         let (to, term, sent) = self.queue.iter().rev().find_map(|w| match &w.step {
--- a/crates/zinnia-replica/src/thread.rs
+++ b/crates/zinnia-replica/src/thread.rs
@@ -217,9 +217,9 @@
                     truncate,
                     entries,
                 } => {
-                    if let Some(hard) = hard {
-                        self.written_vote = Some((hard.term, hard.vote));
-                    }
+                    let vote = hard.map(|h| (h.term, h.vote));
+                    let is_new_vote = vote.is_some() && vote != self.written_vote;
+                    self.written_vote = vote.or(self.written_vote);
                     let index = entries.last().map(|e| e.index);
                     last_index = Some(index.or(last_index).unwrap_or(0));
                     let job = Job::Persist {
@@ -228,6 +228,9 @@
                         entries,
                     };
                     self.disk.submit(job, now);
+                    if is_new_vote {
+                        self.disk.mark_vote();
+                    }
                 }
                 Action::SaveSnapshot { snapshot } => {
                     self.disk.submit(Job::SaveSnapshot(snapshot), now);
--- a/crates/zinnia-replica/tests/common/mod.rs
+++ b/crates/zinnia-replica/tests/common/mod.rs
@@ -110,6 +110,12 @@
 impl TestVoter {
     /// Starts voter 1 of three. The test sends the messages of the others.
     pub(crate) fn start() -> Self {
+        Self::start_with(false)
+    }
+
+    /// Starts voter 1 of three, which applies entries only after the commit index is on disk if
+    /// `durable_commit` is set.
+    pub(crate) fn start_with(durable_commit: bool) -> Self {
         let dir = tempfile::tempdir().expect("a temporary folder");
         let disk = Arc::new(PausableDisk::default());
         let gate = Arc::clone(&disk);
@@ -165,7 +171,7 @@
             heartbeat_ms: 20,
             election_min_ms: 200,
             election_max_ms: 300,
-            durable_commit: false,
+            durable_commit,
             ..Settings::default()
         };
         let replica = Replica::start(settings, Some(store), recovered, 1_000, hooks)
--- a/crates/zinnia-replica/tests/slow_disk.rs
+++ b/crates/zinnia-replica/tests/slow_disk.rs
@@ -56,11 +56,43 @@
     voter.replica.stop().await;
 }
 
+/// A write that a follower's disk does not answer.
+struct StalledWrite {
+    durable_commit: bool,
+    /// Commit index that the leader sends with the entry.
+    commit: u64,
+}
+
 /// Guards against a leader that loses its lease because the disks of its followers are slow, and
-/// against a follower that acknowledges an entry before it has synced it.
+/// against a follower that acknowledges an entry before it has synced it. With `durable_commit`, a
+/// new commit index is a part of the write; such a follower once answered nothing until the sync.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn follower_with_a_stalled_disk_answers_heartbeats() {
-    let voter = TestVoter::start();
+    let cases = [
+        StalledWrite {
+            durable_commit: false,
+            commit: 0,
+        },
+        StalledWrite {
+            durable_commit: false,
+            commit: SNAPSHOT_INDEX + 1,
+        },
+        StalledWrite {
+            durable_commit: true,
+            commit: 0,
+        },
+        StalledWrite {
+            durable_commit: true,
+            commit: SNAPSHOT_INDEX + 1,
+        },
+    ];
+    for case in cases {
+        check_contact_during(&case).await;
+    }
+}
+
+async fn check_contact_during(case: &StalledWrite) {
+    let voter = TestVoter::start_with(case.durable_commit);
     // The first message makes the voter store the term, which other replies wait for.
     voter.replica.receive(LEADER_ID, append(Vec::new(), 1));
     let is_ok = |m: &Message| matches!(m, Message::AppendReply { ok: true, .. });
@@ -71,7 +103,8 @@
         term: 2,
         payload: Payload::Data(Data::from("a")),
     };
-    voter.replica.receive(LEADER_ID, append(vec![entry], 2));
+    let write = append_with(vec![entry], case.commit, 2);
+    voter.replica.receive(LEADER_ID, write);
     let started_at = Instant::now();
     let mut sent = 2;
     let mut answered = 0;
@@ -99,7 +132,13 @@
 /// heartbeat.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn follower_sends_nothing_in_a_term_that_is_not_stored() {
-    let voter = TestVoter::start();
+    for durable_commit in [false, true] {
+        check_silence_in_new_term(durable_commit).await;
+    }
+}
+
+async fn check_silence_in_new_term(durable_commit: bool) {
+    let voter = TestVoter::start_with(durable_commit);
     voter.disk.set_paused(true);
     for sent in 1..=20 {
         voter.replica.receive(LEADER_ID, append(Vec::new(), sent));
@@ -142,12 +181,17 @@
 
 /// A message of the leader, sent at `sent`, with these entries after the initial snapshot.
 fn append(entries: Vec<Entry>, sent: u64) -> Message {
+    append_with(entries, 0, sent)
+}
+
+/// The same with a commit index.
+fn append_with(entries: Vec<Entry>, commit: u64, sent: u64) -> Message {
     Message::Append(AppendEntries {
         term: 2,
         prev: SNAPSHOT_INDEX,
         prev_term: 0,
         entries,
-        commit: 0,
+        commit,
         sent,
         age: 0,
     })
