plan: an unanswered start order outlasts the leases of a lost worker

What could happen: a task runs twice.

Cause: fencing tokens and deadlines stop a delayed order at the incarnation it was sent to, not at the next one.

Change: a run whose order got no answer is released no sooner than the longest delay of an order after it was sent. Tasks that are to last are left out: they must run again within a bound that is shorter than the delay, and a new leader does not know which orders had an answer.

--- a/crates/zinnia-plan/src/inherited.rs
+++ b/crates/zinnia-plan/src/inherited.rs
@@ -17,7 +17,7 @@
 use crate::worker_view::WorkerView;
 
 /// Longest time in which an order without an answer may still be carried out.
-const MAX_ORDER_DELAY_MS: u64 = 12_000;
+pub(crate) const MAX_ORDER_DELAY_MS: u64 = 12_000;
 /// Longest difference between the wall clocks of two leaders.
 const MAX_CLOCK_SKEW_MS: u64 = 5_000;
 
--- a/crates/zinnia-plan/src/orders.rs
+++ b/crates/zinnia-plan/src/orders.rs
@@ -41,6 +41,7 @@
         view.lease_expired = false;
         let order = SentOrder {
             fence: view.fence,
+            sent_at: now,
             state: OrderState::Open,
         };
         view.orders.insert((start.task, start.run), order);
--- a/crates/zinnia-plan/src/runs.rs
+++ b/crates/zinnia-plan/src/runs.rs
@@ -12,6 +12,7 @@
 use crate::Status;
 use crate::Task;
 use crate::TaskId;
+use crate::inherited::MAX_ORDER_DELAY_MS;
 use crate::worker_view::WorkerView;
 use crate::worker_view::current_workers;
 
@@ -37,6 +38,7 @@
     /// Releases the runs of workers whose leases have certainly expired.
     pub(crate) fn expire_leases(&mut self, state: &State, now: Time, plan: &mut Plan) {
         let term_start = self.term_start;
+        let max_delay_ms = MAX_ORDER_DELAY_MS + self.settings.silence_ms;
         for (name, view, worker) in current_workers(&mut self.views, state) {
             if worker.runs.is_empty() || view.lease_expired {
                 continue;
@@ -56,7 +58,15 @@
                 }
                 continue;
             }
-            view.lease_expired = true;
+            let is_held = |key: &(TaskId, u32)| {
+                let is_lasting = state.step(key.0).is_some_and(|step| step.long_running);
+                !is_lasting && view.may_still_arrive(*key, max_delay_ms, now)
+            };
+            let (held, ended): (Vec<_>, Vec<_>) = worker.runs.iter().partition(|key| is_held(key));
+            if ended.is_empty() {
+                continue;
+            }
+            view.lease_expired = held.is_empty();
             // The higher token rejects orders that are still in transit, and new tasks wait for an
             // answer that reports the active runs.
             view.fence += 1;
@@ -66,12 +76,11 @@
                     .get(&key)
                     .map_or("", |p| p.checkpoint.as_str())
             };
-            let list = worker
-                .runs
+            let list = ended
                 .iter()
-                .map(|&(t, r)| (t, r, checkpoint((t, r)).to_owned()));
+                .map(|&&(t, r)| (t, r, checkpoint((t, r)).to_owned()));
             plan.records.push(Record::Release(list.collect()));
-            plan.expired.push(expired(view, worker.runs.len()));
+            plan.expired.push(expired(view, ended.len()));
         }
     }
 
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -80,6 +80,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SentOrder {
     pub(crate) fence: u64,
+    pub(crate) sent_at: Time,
     pub(crate) state: OrderState,
 }
 
@@ -302,6 +303,20 @@
         runs
     }
 
+    /// Whether the start order of a run got no answer and may still reach the worker's next incarnation,
+    /// whose fencing token and clock start anew.
+    pub(crate) fn may_still_arrive(
+        &self,
+        run: (TaskId, u32),
+        max_delay_ms: u64,
+        now: Time,
+    ) -> bool {
+        let order = self.orders.get(&run);
+        order.is_some_and(|o| {
+            !matches!(o.state, OrderState::Accepted { .. }) && now.since(o.sent_at) < max_delay_ms
+        })
+    }
+
     /// Longest time until every lease that the worker may have received has expired.
     pub(crate) fn remaining_lease_ms(&self, now: Time) -> u64 {
         if self.confirmed_fence == 0 && now < self.inherited.until {
--- a/crates/zinnia-plan/tests/incarnations.rs
+++ b/crates/zinnia-plan/tests/incarnations.rs
@@ -357,3 +357,35 @@
         "released {after} ms after the start"
     );
 }
+
+/// Guards against a task that starts elsewhere while its order, which got no answer, may still be carried out
+/// by the next incarnation of a lost worker. A task that is to last does not wait for that, since it must
+/// run again within a bound.
+#[test]
+fn unanswered_order_outlasts_the_lease_of_a_lost_worker() {
+    /// Longest time until an order without an answer is carried out.
+    const ORDER_DELAY_MS: u64 = 12_000;
+    for long_running in [false, true] {
+        let mut sim = Simulation::new(document(None));
+        sim.add_worker(&incarnation("w", 4_000));
+        sim.submit(job(vec![Step {
+            long_running,
+            ..step(1, 1_000)
+        }]));
+        let order = sim.start_tasks().pop().expect("the task is started");
+        let sent_ms = sim.now;
+        sim.start_answered(&order, &StartOutcome::Unknown);
+        sim.wait_for_release().expect("the run is released");
+        let after = sim.now - sent_ms;
+        assert_eq!(
+            after <= RELEASE_MS,
+            long_running,
+            "released after {after} ms"
+        );
+        assert_eq!(
+            after > ORDER_DELAY_MS,
+            !long_running,
+            "released after {after} ms"
+        );
+    }
+}
