--- a/crates/zinnia-plan/src/inherited.rs
+++ b/crates/zinnia-plan/src/inherited.rs
@@ -21,7 +21,7 @@
 /// Longest difference between the wall clocks of two leaders.
 const MAX_CLOCK_SKEW_MS: u64 = 5_000;
 
-/// The longest lease that this leader did not grant.
+/// The longest lease of a worker that this leader did not grant.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Inherited {
     /// Its length in milliseconds.
--- a/crates/zinnia-plan/src/lease_times.rs
+++ b/crates/zinnia-plan/src/lease_times.rs
@@ -1,4 +1,4 @@
-//! The member's own times of the log entries about leases.
+//! When a member applied the log entries about leases.
 
 use std::collections::BTreeMap;
 
@@ -10,8 +10,7 @@
 /// the term of the new leader.
 const MAX_TIMES: u64 = 1_024;
 
-/// When a member applied the entries that list workers whose leases are renewed no more, or again, on
-/// its own clock.
+/// When a member applied the entries that stop or resume the renewal of leases, on its own clock.
 ///
 /// An entry is applied after it was proposed, so that a lease which was granted before has expired
 /// once its length has passed since the application.
--- a/crates/zinnia-plan/src/record.rs
+++ b/crates/zinnia-plan/src/record.rs
@@ -18,8 +18,8 @@
     /// not know it.
     #[serde(rename = "lease", default, skip_serializing_if = "Option::is_none")]
     pub lease_bound: Option<u64>,
-    /// Workers whose leases the leader stops or resumes to renew; `None` from a build that does not
-    /// tell.
+    /// Workers whose leases the leader stops renewing, or renews again; `None` from a build that renews
+    /// them without an entry.
     #[serde(rename = "renewals", default, skip_serializing_if = "Option::is_none")]
     pub lease_changes: Option<LeaseChanges>,
     /// Records, applied in this order.
@@ -29,7 +29,7 @@
 
 impl Batch {
     /// Drops what no longer holds in the term of the entry. A leader that was elected again may have
-    /// renewed leases since it proposed to stop.
+    /// renewed leases since it proposed to stop renewing them.
     pub fn drop_outdated(&mut self, term: u64) {
         if let Some(changes) = &mut self.lease_changes
             && changes.term != term
@@ -39,7 +39,7 @@
     }
 }
 
-/// Workers whose leases the leader stops or resumes to renew, and runs that workers have received.
+/// Workers whose leases the leader stops renewing, or renews again, and runs that workers have received.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LeaseChanges {
     /// Term of the leader.
--- a/crates/zinnia-plan/src/silence.rs
+++ b/crates/zinnia-plan/src/silence.rs
@@ -18,7 +18,7 @@
 use crate::worker_view::WorkerView;
 use crate::worker_view::current_workers;
 
-/// How long the leases of a worker last that are not renewed any more.
+/// The end of the renewal of a worker's leases.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Silence {
     /// Number of the entry that stopped the renewal, as in [`State::lease_entries`].
@@ -30,6 +30,7 @@
 }
 
 impl State {
+    /// Applies what an entry says about leases.
     pub(crate) fn apply_lease_changes(&mut self, batch: &Batch) {
         let Some(changes) = &batch.lease_changes else {
             // A leader of an earlier build renews leases without an entry.
@@ -120,20 +121,22 @@
             if worker.runs.is_empty() || worker.silence.is_some() {
                 continue;
             }
-            let is_open = |at: Time| now.since(at) < retry_ms;
-            let is_proposed = view.stop_proposed.is_some();
-            if (view.renews_no_lease() || is_proposed) && !view.stop_proposed.is_some_and(is_open) {
-                view.stop_proposed = Some(now);
-                let wait_ms = view.remaining_lease_ms(now);
-                let predecessor = view.predecessor.as_ref();
-                plan.lease_changes.stopped.push(StoppedRenewal {
-                    worker: name.to_owned(),
-                    born: view.born,
-                    permits: worker.permits,
-                    wait_ms,
-                    received_ms: predecessor.map_or(wait_ms, |p| p.until.since(now)),
-                });
+            match view.stop_proposed {
+                Some(at) if now.since(at) < retry_ms => continue,
+                None if !view.renews_no_lease() => continue,
+                // The worker may answer again, but a proposed stop must be settled first.
+                _ => {}
             }
+            view.stop_proposed = Some(now);
+            let wait_ms = view.remaining_lease_ms(now);
+            let predecessor = view.predecessor.as_ref();
+            plan.lease_changes.stopped.push(StoppedRenewal {
+                worker: name.to_owned(),
+                born: view.born,
+                permits: worker.permits,
+                wait_ms,
+                received_ms: predecessor.map_or(wait_ms, |p| p.until.since(now)),
+            });
         }
     }
 
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -51,7 +51,7 @@
     /// Number of entries that allowed the renewal of its leases.
     #[serde(default)]
     pub permits: u64,
-    /// Since when its leases are not renewed; `None` if they may be.
+    /// The entry that ended the renewal of its leases; `None` if they may be renewed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub silence: Option<Silence>,
     /// Whether the incarnation is about to shut down and gets no new tasks.
