raft: a leader stays ready while it writes a commit index

Cause: `Node::is_ready` asked that everything committed be applied. With `durable_commit`, which the daemon uses, an entry is applied after its commit index is on disk, so a leader was not ready during each such write. The daemon's leader then answers pings without a lease and the query for its commit index with "none"; a VM that asks before it refuses an unknown team does not wait then.

Change: a leader is ready once it has applied an entry of its own term, as its documentation says. Replica::ready_term still compares what the thread has applied with the commit index.

--- a/crates/zinnia-raft/src/node.rs
+++ b/crates/zinnia-raft/src/node.rs
@@ -392,9 +392,7 @@
     /// Whether this node leads and has applied an entry of its own term, which implies that it has
     /// applied everything committed in earlier terms.
     pub fn is_ready(&self) -> bool {
-        self.role == Role::Leader
-            && self.applied_index == self.commit_index
-            && self.log.term(self.commit_index) == Some(self.term)
+        self.role == Role::Leader && self.log.term(self.applied_index) == Some(self.term)
     }
 
     /// Current leader, if known.
--- a/crates/zinnia-raft/tests/rules.rs
+++ b/crates/zinnia-raft/tests/rules.rs
@@ -427,3 +427,30 @@
         assert!(actions.iter().any(shown), "{actions:?}");
     }
 }
+
+/// Guards against a leader that is not ready while it writes a new commit index to its disk. Under
+/// steady load a slow disk nearly always writes one, and the cell's leases were not renewed meanwhile.
+#[test]
+fn leader_stays_ready_while_a_commit_is_written() {
+    for durable in [true, false] {
+        let mut node = elect(follower_with(durable));
+        assert!(!node.is_ready(), "nothing of its own term is applied");
+        receive(&mut node, 2, append_reply(3, 4_000), 4_010);
+        assert!(node.is_ready());
+        let data = Data::from("b");
+        let proposal = Proposal {
+            proposal_id: 1,
+            data,
+        };
+        node.step(Event::Propose(vec![proposal]), Time(START_MS + 4_011));
+        for id in [2, 3] {
+            receive(&mut node, id, append_reply(4, 4_011), 4_012);
+        }
+        assert_eq!(node.commit_index(), 4);
+        assert!(
+            node.is_ready(),
+            "durable {durable}: applied {}",
+            node.applied_index()
+        );
+    }
+}
