raft: the simulation's options, network and I/O shell in modules of their own

simulation.rs had grown to 564 lines; it has 360 now. The lines moved without a change, apart from their visibility and a doc comment each on `deliver` and `send`.

--- a/crates/zinnia-raft/src/sim/simulation.rs
+++ b/crates/zinnia-raft/src/sim/simulation.rs
@@ -11,19 +11,17 @@
 
 use super::InvariantChecker;
 use super::SimDisk;
+use super::SimOptions;
 use super::SimVm;
 use super::vm::ShellStep;
 use crate::Action;
 use crate::Data;
-use crate::Entry;
 use crate::Event;
 use crate::HardState;
 use crate::Member;
 use crate::Members;
 use crate::MembershipChange;
-use crate::Message;
 use crate::Node;
-use crate::Payload;
 use crate::Proposal;
 use crate::RejectReason;
 use crate::Role;
@@ -36,54 +34,6 @@
 const TICK_MS: u64 = 50;
 /// Interval between runs of the membership management in milliseconds.
 const MEMBERSHIP_CHECK_MS: u64 = 500;
-/// Maximum size of an append message without its entries, in bytes.
-const OVERHEAD_BYTES: usize = 192;
-
-/// Options of a simulation: network faults, stalls and settings of the cell.
-#[derive(Clone, Debug)]
-pub struct SimOptions {
-    /// Seed of the random number generators.
-    pub seed: u64,
-    /// Number of initial voters, and the target number for membership management.
-    pub voters: u64,
-    /// Percentage of lost messages.
-    pub loss_percent: u32,
-    /// Percentage of duplicated messages.
-    pub duplicate_percent: u32,
-    /// Maximum message delay in milliseconds. Random delays reorder messages.
-    pub delay_ms: u64,
-    /// Percentage of clock steps in which the I/O shell of a VM performs no actions.
-    pub stall_percent: u32,
-    /// Number of applied entries after which a VM compacts its log.
-    pub compact_entries: u64,
-    /// Whether members are added, promoted and removed as in the daemon.
-    pub manage_members: bool,
-    /// Settings of the nodes. The default limits are small, so that short runs reach them.
-    pub settings: Settings,
-}
-
-impl Default for SimOptions {
-    fn default() -> Self {
-        Self {
-            seed: 1,
-            voters: 3,
-            loss_percent: 0,
-            duplicate_percent: 0,
-            delay_ms: 20,
-            stall_percent: 0,
-            compact_entries: 20,
-            manage_members: false,
-            settings: Settings {
-                retained_entries: 5,
-                max_chunk_bytes: 7,
-                max_entry_bytes: 300,
-                max_message_bytes: 300,
-                max_in_flight: 4,
-                ..Settings::default()
-            },
-        }
-    }
-}
 
 /// Simulated cell with a virtual clock, which advances only in [`Self::run`] and its variants.
 #[derive(Debug)]
@@ -103,10 +53,10 @@
     /// Number of messages and bytes sent so far, by sender.
     pub sent_totals: BTreeMap<VmId, (u64, u64)>,
     /// Whether any disk was wiped, which disables the check for durable commits.
-    disk_wiped: bool,
-    rng: SmallRng,
+    pub(super) disk_wiped: bool,
+    pub(super) rng: SmallRng,
     /// Encoded undelivered messages, by delivery time and sequence number.
-    in_flight: BTreeMap<(u64, u64), (VmId, VmId, String)>,
+    pub(super) in_flight: BTreeMap<(u64, u64), (VmId, VmId, String)>,
     /// Last number assigned to a proposal or a message.
     last_number: u64,
 }
@@ -322,7 +272,7 @@
         proposal_id
     }
 
-    fn next_number(&mut self) -> u64 {
+    pub(super) fn next_number(&mut self) -> u64 {
         self.last_number += 1;
         self.last_number
     }
@@ -375,19 +325,6 @@
         false
     }
 
-    fn deliver(&mut self) {
-        let remaining = self.in_flight.split_off(&(self.now + 1, 0));
-        for (_, (from, to, text)) in std::mem::replace(&mut self.in_flight, remaining) {
-            match serde_json::from_str(&text) {
-                Ok(_) if self.cut_links.contains(&(from, to)) => {}
-                Ok(message) => self.queue_event(to, Event::Receive { from, message }),
-                Err(e) => self
-                    .checker
-                    .expect(false, || format!("cannot decode message {text}: {e}")),
-            }
-        }
-    }
-
     fn step_vm(&mut self, id: VmId) {
         let stalled = self.rng.random_range(0..100) < self.options.stall_percent;
         let now = self.now;
@@ -408,147 +345,6 @@
         }
     }
 
-    /// Performs up to `count` pending steps: actions and reports of syncs.
-    fn perform_actions(&mut self, id: VmId, count: usize) {
-        for _ in 0..count {
-            let Some(vm) = self.vms.get_mut(&id) else {
-                return;
-            };
-            match vm.pending_steps.pop_front() {
-                Some(ShellStep::Perform(action)) => self.perform_action(id, action),
-                Some(ShellStep::ReportSync) => {
-                    let index = vm.last_persisted;
-                    vm.step_node(Event::Synced { index }, Time(self.now));
-                }
-                None => return,
-            }
-        }
-    }
-
-    fn perform_action(&mut self, id: VmId, action: Action) {
-        let Some(vm) = self.vms.get_mut(&id) else {
-            return;
-        };
-        match action {
-            Action::Persist {
-                hard,
-                truncate,
-                entries,
-            } => {
-                let truncates_applied = truncate.is_some_and(|from| from <= vm.applied_index);
-                self.checker.expect(!truncates_applied, || {
-                    format!("{id} truncates applied entries")
-                });
-                vm.last_persisted = entries.last().map_or(vm.last_persisted, |e| e.index);
-                vm.disk.write(hard, truncate, &entries);
-                vm.disk.sync();
-                let before = entries.first().and_then(|e| vm.disk.term(e.index - 1));
-                self.checker.check_written(&entries, before);
-            }
-            Action::SaveSnapshot { snapshot } => vm.disk.snapshot = Some(snapshot),
-            Action::InstallSnapshot { snapshot } => {
-                let is_newer = snapshot.index > vm.applied_index;
-                self.checker.expect(is_newer, || {
-                    format!("{id} installs a snapshot that is not ahead of its state")
-                });
-                vm.restore(Some(&snapshot));
-                self.checker.check_restored(vm.applied_index, vm.state_hash);
-                vm.disk.snapshot = Some(snapshot);
-            }
-            Action::Send { to, message } => {
-                self.checker.check_sent(id, to, &message, &vm.disk);
-                self.send(id, to, &message);
-            }
-            Action::Committed { proposal_id, index } => {
-                self.checker.check_committed(proposal_id, index);
-            }
-            Action::Rejected {
-                proposal_id,
-                leader,
-                reason,
-            } => {
-                self.rejections.insert(proposal_id, (reason, leader));
-                self.checker.check_rejected(proposal_id);
-            }
-            Action::Apply { entries } => self.apply(id, &entries),
-            Action::RoleChanged {
-                role: Role::Leader,
-                term,
-                ..
-            } => self.checker.check_leader(id, term, &vm.disk),
-            Action::RoleChanged { .. } => {}
-        }
-    }
-
-    fn apply(&mut self, id: VmId, entries: &[Entry]) {
-        for entry in entries {
-            let Some(vm) = self.vms.get_mut(&id) else {
-                return;
-            };
-            let consecutive = entry.index == vm.applied_index + 1;
-            self.checker.expect(consecutive, || {
-                format!("{id} applies entry {} out of order", entry.index)
-            });
-            let durable = !self.options.settings.durable_commit
-                || vm.disk.hard.commit.max(vm.disk.snapshot_index()) >= entry.index;
-            self.checker.expect(durable, || {
-                format!(
-                    "{id} applies entry {} before its commit index is durable",
-                    entry.index
-                )
-            });
-            vm.applied_index = entry.index;
-            if let Payload::Data(data) = &entry.payload {
-                vm.apply(data.as_str());
-            }
-            let term = vm.node.as_ref().map_or(0, Node::term);
-            let is_first = self.checker.check_applied(id, entry, vm.state_hash, term);
-            if is_first && !self.disk_wiped {
-                let nodes = self.vms.values().filter_map(|vm| vm.node.as_ref());
-                let disk = |id| self.vms.get(&id).map(|vm| &vm.disk);
-                self.checker
-                    .check_durable(entry, nodes.map(Node::members), disk);
-            }
-        }
-        self.compact(id);
-    }
-
-    fn compact(&mut self, id: VmId) {
-        let Some(vm) = self.vms.get_mut(&id) else {
-            return;
-        };
-        let compacted = vm.node.as_ref().map_or(u64::MAX, Node::snapshot_index);
-        if vm.applied_index >= compacted.saturating_add(self.options.compact_entries) {
-            let index = vm.applied_index;
-            let data = Data::from(vm.snapshot_data());
-            vm.inbox.push(Event::Compact { index, data });
-        }
-    }
-
-    fn send(&mut self, from: VmId, to: VmId, message: &Message) {
-        let text = match serde_json::to_string(message) {
-            Ok(text) => text,
-            Err(e) => return self.checker.expect(false, || e.to_string()),
-        };
-        let totals = self.sent_totals.entry(from).or_default();
-        totals.0 += 1;
-        totals.1 += text.len() as u64;
-        let limit = self.options.settings.max_message_bytes + OVERHEAD_BYTES;
-        let fits = !matches!(message, Message::Append(_)) || text.len() <= limit;
-        self.checker.expect(fits, || {
-            format!("append message of {} bytes exceeds the limit", text.len())
-        });
-        let copies = 1 + u32::from(self.rng.random_range(0..100) < self.options.duplicate_percent);
-        for _ in 0..copies {
-            if self.rng.random_range(0..100) < self.options.loss_percent {
-                continue;
-            }
-            let at = self.now + self.rng.random_range(1..=self.options.delay_ms);
-            let key = (at, self.next_number());
-            self.in_flight.insert(key, (from, to, text.clone()));
-        }
-    }
-
     /// Checks that at most one leader holds the lease.
     fn check_lease(&mut self) {
         let now = Time(self.now);
