bench: the steps for documents and for faults in modules of their own

scenario/run.rs had grown to 541 lines; it has 245 now. The lines moved without a change, apart from their visibility and a doc comment on the functions that other modules call.

--- a/crates/zinnia-bench/src/scenario/mod.rs
+++ b/crates/zinnia-bench/src/scenario/mod.rs
@@ -3,7 +3,9 @@
 
 mod conditions;
 mod context;
+mod documents;
 mod event_log;
+mod faults;
 mod line_reader;
 mod monitor;
 mod parse;
--- a/crates/zinnia-bench/src/scenario/run.rs
+++ b/crates/zinnia-bench/src/scenario/run.rs
@@ -1,38 +1,28 @@
 //! Runs the steps of a scenario.
 
-use std::collections::BTreeMap;
-use std::fs;
-use std::path::PathBuf;
-use std::time::Duration;
-
 use anyhow::Context;
 use anyhow::Result;
 use anyhow::bail;
 use anyhow::ensure;
-use serde_json::Value;
 use serde_json::json;
 use tokio::time::Instant;
 use zinnia_check::EventKind;
-use zinnia_local::Client;
 use zinnia_types::Code;
-use zinnia_types::Document;
 use zinnia_types::ExecutionStatus;
-use zinnia_types::Resources;
-use zinnia_types::TeamId;
 
 use super::POLL_INTERVAL;
 use super::conditions;
 use super::context::GrantedKey;
 use super::context::ScenarioContext;
-use super::monitor::document_digest;
+use super::documents::apply_concurrently;
+use super::documents::apply_documents;
+use super::documents::apply_series;
+use super::faults::control_vm;
+use super::faults::control_worker;
+use super::faults::cut_links;
 use super::requests;
 use super::requests::RequestOutcome;
 use super::step::Step;
-use super::step::VmAction;
-use super::step::WorkerAction;
-
-/// Maximum wait for a draining worker to finish its tasks and calls.
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Runs one step. Unless the step expects refusals, it fails if any of its requests was not
 /// granted.
@@ -70,7 +60,8 @@
     }
 }
 
-fn expect_refused(
+/// Fails unless the outcome is a refusal with this code and, if given, this execution status.
+pub(crate) fn expect_refused(
     outcome: &RequestOutcome,
     code: Code,
     ran: Option<ExecutionStatus>,
@@ -204,147 +195,6 @@
     Ok(Vec::new())
 }
 
-async fn control_worker(
-    context: &mut ScenarioContext,
-    name: &str,
-    action: WorkerAction,
-) -> Result<()> {
-    if matches!(action, WorkerAction::Restart) {
-        let (domain, rack, capacity) = context
-            .worker_specs
-            .get(name)
-            .cloned()
-            .context("no such worker")?;
-        let rack = format!("{domain}-r{rack}");
-        let cell = &mut context.cell;
-        return cell.add_worker(name, &domain, &rack, capacity).await;
-    }
-    if matches!(action, WorkerAction::Kill) {
-        context.cell.kill_worker(name);
-        return Ok(());
-    }
-    let handle = context.cell.worker(name).context("no such worker")?;
-    let id = handle.worker();
-    match action {
-        WorkerAction::Leave => {
-            handle.leave();
-            context.event_log.add(EventKind::Leaving { worker: id });
-        }
-        WorkerAction::Drain => {
-            handle.leave();
-            context.event_log.add(EventKind::Leaving { worker: id });
-            let finished = context.cell.drain_worker(name, DRAIN_TIMEOUT).await;
-            ensure!(
-                finished,
-                "worker {name} did not finish its tasks and calls in time"
-            );
-        }
-        WorkerAction::PauseHeartbeats => handle.set_heartbeats_paused(true),
-        WorkerAction::ResumeHeartbeats => handle.set_heartbeats_paused(false),
-        WorkerAction::Kill | WorkerAction::Restart => {}
-    }
-    Ok(())
-}
-
-async fn control_vm(
-    context: &mut ScenarioContext,
-    vm_index: usize,
-    action: VmAction,
-) -> Result<()> {
-    match action {
-        VmAction::Kill => {
-            let vm = context.vm_id(vm_index).context("the VM is not running")?;
-            context.event_log.add(EventKind::Killed { vm });
-            context.monitor.unwatch(vm);
-            context.cell.kill_vm(vm_index).await;
-            context.update_connectivity();
-        }
-        VmAction::Drain => {
-            let vm = context.vm_id(vm_index).context("the VM is not running")?;
-            context.event_log.add(EventKind::Drain { vm });
-            let finished = context.cell.drain_vm(vm_index).await;
-            // A response may still be in transit from the socket to its caller.
-            context.event_log.wait_for_callers(vm).await;
-            context.event_log.add(EventKind::Drained { vm });
-            context.monitor.unwatch(vm);
-            context.update_connectivity();
-            ensure!(
-                finished,
-                "the VM was drained before its requests in flight had finished"
-            );
-        }
-        // A step may start a whole domain, some VMs of which already run.
-        VmAction::Start if context.cell.daemon(vm_index).is_some() => {}
-        VmAction::Start => {
-            context.cell.start_vm(vm_index).await?;
-            context.watch_vm(vm_index);
-            context.update_connectivity();
-        }
-        VmAction::ExpectStartFailure => {
-            let Err(error) = context.cell.start_vm(vm_index).await else {
-                bail!("the VM started with a corrupt journal");
-            };
-            let text = format!("{error:#}");
-            ensure!(
-                text.contains("journal-"),
-                "the error does not name the journal file: {text}"
-            );
-        }
-        VmAction::WipeDisk => context.cell.wipe_vm(vm_index)?,
-        VmAction::AppendPartialRecord => {
-            let path = newest_journal(context, vm_index)?;
-            let mut bytes = fs::read(&path)?;
-            // 7 bytes are fewer than the framing of a record takes, so the record is incomplete.
-            let partial_record = bytes.get(..7).map(<[u8]>::to_vec);
-            bytes.extend(partial_record.context("the journal is empty")?);
-            fs::write(&path, bytes)?;
-        }
-        VmAction::CorruptJournal => {
-            let path = newest_journal(context, vm_index)?;
-            let mut bytes = fs::read(&path)?;
-            let middle = bytes.len() / 2;
-            let byte = bytes.get_mut(middle).context("the journal is empty")?;
-            *byte ^= 0x40;
-            fs::write(&path, bytes)?;
-        }
-    }
-    Ok(())
-}
-
-/// Path of the newest journal file of a stopped VM.
-fn newest_journal(context: &ScenarioContext, vm_index: usize) -> Result<PathBuf> {
-    ensure!(context.cell.daemon(vm_index).is_none(), "the VM is running");
-    let settings = context.cell.vm_settings(vm_index).context("no such VM")?;
-    let folder = settings.data.as_ref().context("the VM has no disk")?;
-    let mut files = Vec::new();
-    for entry in fs::read_dir(folder)? {
-        let entry = entry?;
-        if entry.file_name().to_string_lossy().starts_with("journal-") {
-            files.push(entry.path());
-        }
-    }
-    files.into_iter().max().context("the VM has no journal")
-}
-
-fn cut_links(
-    context: &mut ScenarioContext,
-    pairs: impl Iterator<Item = (usize, usize)>,
-    both: bool,
-) {
-    for (from, to) in pairs {
-        context.cut_links.insert((from, to));
-        if both {
-            context.cut_links.insert((to, from));
-        }
-    }
-    // Recorded before the links are cut: the invariants for reachable VMs do not apply to a VM from
-    // the moment when it is cut off.
-    context.update_connectivity();
-    for &(from, to) in &context.cut_links {
-        context.cell.drop_link(from, to);
-    }
-}
-
 async fn grant_key(
     context: &mut ScenarioContext,
     vm_index: usize,
@@ -393,149 +243,3 @@
     }
     Ok(())
 }
-
-fn team_limits(document: &Value) -> BTreeMap<TeamId, Resources> {
-    let parsed: Option<Document> = serde_json::from_value(document.clone()).ok();
-    let teams = parsed.map(|d| d.teams).unwrap_or_default();
-    teams.into_iter().map(|t| (t.name, t.limit)).collect()
-}
-
-fn record_limits(context: &ScenarioContext, limits: &BTreeMap<TeamId, Resources>) {
-    for (&team, &limit) in limits {
-        context.event_log.add(EventKind::Limit { team, limit });
-    }
-}
-
-/// Applies documents concurrently, each through a VM and with a request id, all edited from the
-/// same version; by default from the version in force.
-async fn apply_documents(
-    context: &mut ScenarioContext,
-    documents: Vec<(usize, String, Value)>,
-    base_version: Option<u64>,
-) -> Result<Vec<RequestOutcome>> {
-    // Tasks may start under a new limit before the response arrives, so the maximum of the old and
-    // new limits applies first.
-    let mut max_limits = context.limits.clone();
-    for (_, _, document) in &documents {
-        for (team, limit) in team_limits(document) {
-            let entry = max_limits.entry(team).or_insert(limit);
-            *entry = Resources::elementwise_max(entry, &limit);
-        }
-    }
-    record_limits(context, &max_limits);
-    let base_version = match (base_version, documents.first()) {
-        (Some(base_version), _) => base_version,
-        (None, Some((vm_index, _, _))) => {
-            document_version(&context.cell.operator_client(*vm_index)).await?
-        }
-        (None, None) => 0,
-    };
-    let mut tasks = tokio::task::JoinSet::new();
-    for (vm_index, request_id, document) in documents {
-        let client = context.cell.operator_client(vm_index);
-        tasks.spawn(async move {
-            let body = json!({"request": request_id, "from": base_version, "document": document});
-            (client.put("/v1/document", &body).await, document)
-        });
-    }
-    let mut outcomes = Vec::new();
-    for (response, document) in tasks.join_all().await {
-        outcomes.push(match response {
-            Ok(response) => {
-                let version = response["version"]
-                    .as_u64()
-                    .context("the response has no version")?;
-                let hash = response["hash"]
-                    .as_str()
-                    .context("the response has no hash")?;
-                context.event_log.add(EventKind::Document {
-                    version,
-                    digest: document_digest(hash),
-                });
-                for (team, limit) in team_limits(&document) {
-                    context.limits.insert(team, limit);
-                }
-                record_open_kinds(context, &document);
-                RequestOutcome::Granted
-            }
-            Err(error) => RequestOutcome::from_error(error),
-        });
-    }
-    // A document without a response may have been accepted, so the maximum limits still apply.
-    if outcomes
-        .iter()
-        .any(|o| matches!(o, RequestOutcome::NoResponse(_)))
-    {
-        context.limits = max_limits;
-    }
-    record_limits(context, &context.limits);
-    Ok(outcomes)
-}
-
-/// Version of the document in force at a VM.
-async fn document_version(client: &Client) -> Result<u64> {
-    let response = client.get("/v1/document").await?;
-    response["version"]
-        .as_u64()
-        .context("the response has no version")
-}
-
-/// Records which team owns the submissions without a key of each kind.
-fn record_open_kinds(context: &ScenarioContext, document: &Value) {
-    let parsed: Option<Document> = serde_json::from_value(document.clone()).ok();
-    for kind in parsed.map(|d| d.kinds).unwrap_or_default() {
-        context.event_log.add(EventKind::Opened {
-            kind: kind.name,
-            team: kind.open,
-        });
-    }
-}
-
-/// Applies documents concurrently; exactly one must be accepted and the others must conflict.
-async fn apply_concurrently(
-    context: &mut ScenarioContext,
-    documents: &[Value],
-) -> Result<Vec<RequestOutcome>> {
-    let mut edits = Vec::new();
-    for document in documents {
-        let vm_index = context.request_vm(None)?;
-        edits.push((vm_index, context.next_request_id("race"), document.clone()));
-    }
-    let outcomes = apply_documents(context, edits, None).await?;
-    let granted = outcomes
-        .iter()
-        .filter(|o| matches!(o, RequestOutcome::Granted));
-    ensure!(
-        granted.count() == 1,
-        "not exactly one document was accepted: {outcomes:?}"
-    );
-    for outcome in outcomes
-        .iter()
-        .filter(|o| !matches!(o, RequestOutcome::Granted))
-    {
-        expect_refused(outcome, Code::Conflict, Some(ExecutionStatus::NotRun))?;
-    }
-    Ok(Vec::new())
-}
-
-/// Applies `count` documents in sequence, each with a different share of the first team.
-async fn apply_series(
-    context: &mut ScenarioContext,
-    document: &Value,
-    count: u32,
-) -> Result<Vec<RequestOutcome>> {
-    let mut outcomes = Vec::new();
-    let mut document = document.clone();
-    let vm_index = context.request_vm(None)?;
-    let mut base_version = document_version(&context.cell.operator_client(vm_index)).await?;
-    for n in 0..count {
-        document["teams"][0]["share"] = json!(1 + n % 50);
-        let vm_index = context.request_vm(None)?;
-        let request_id = context.next_request_id("change");
-        let edit = (vm_index, request_id, document.clone());
-        // Counted here rather than queried, since a VM may lag behind the one that responded last.
-        outcomes.extend(apply_documents(context, vec![edit], Some(base_version)).await?);
-        base_version += 1;
-    }
-    Ok(outcomes)
-}
