cell, daemon: a takeover does not restart the wait for the leases of a silent worker

Callers saw a service task of a lost worker start again only task lease plus margin (32 s) after the last takeover, however long the worker had been silent and also when no loss explained the takeover. Cause: the wait counted from the term of the new acting owner, since the time of the last renewal was known to its predecessor alone.

Acting owners now declare in the log which workers get no renewal any more, with the time since the last one. Each VM notes when it applied the entry, and a later acting owner counts from there. Leases are renewed again only after an entry that resumes them; an announcement waits up to 600 ms for it. Changes name the term and the last change, so that delayed ones are refused. Earlier builds ignore the new optional fields; a term that one of them proposes forgets the silent workers, since it renews without an entry.

--- a/crates/zinnia-bench/src/capacity/cores.rs
+++ b/crates/zinnia-bench/src/capacity/cores.rs
@@ -229,7 +229,14 @@
     );
     let add = (0..1_700).map(profile).collect::<Result<_>>()?;
     let remove = Vec::new();
-    apply(&mut cell, &Command::Workers { add, remove });
+    apply(
+        &mut cell,
+        &Command::Workers {
+            add,
+            remove,
+            leases: None,
+        },
+    );
     let started = Instant::now();
     for n in 0..jobs {
         let job = Box::new(job(teams[n % teams.len()], n)?);
--- a/crates/zinnia-cell/examples/cell_escrow/rounds.rs
+++ b/crates/zinnia-cell/examples/cell_escrow/rounds.rs
@@ -186,6 +186,7 @@
                 domain: id,
                 vm: VmId(n),
                 from_term: 0,
+                silent: Some(Vec::new()),
             },
         );
         domains.push(Domain {
--- a/crates/zinnia-cell/examples/cell_figures.rs
+++ b/crates/zinnia-cell/examples/cell_figures.rs
@@ -175,6 +175,7 @@
             domain: domain(n)?,
             vm: VmId(n),
             from_term: 0,
+            silent: Some(Vec::new()),
         });
     }
     let mut add = Vec::new();
@@ -195,6 +196,7 @@
     let command = Command::Workers {
         add,
         remove: Vec::new(),
+        leases: None,
     };
     log.apply(&command);
     Ok(())
--- a/crates/zinnia-cell/src/cell.rs
+++ b/crates/zinnia-cell/src/cell.rs
@@ -209,12 +209,29 @@
             Command::WithdrawKeys { ids } => self.keys.withdraw(ids),
             Command::JoinVm { vm } => self.members.add_vm(vm),
             Command::RemoveVm { id } => self.members.remove_vm(*id),
-            Command::Workers { add, remove } => self.members.update_workers(add, remove),
+            Command::Workers {
+                add,
+                remove,
+                leases,
+            } => {
+                if let Some(changes) = leases {
+                    self.members.change_leases(changes, index)?;
+                }
+                self.members.update_workers(add, remove)
+            }
             Command::SetOwner {
                 domain,
                 vm,
                 from_term,
-            } => self.members.set_owner(*domain, *vm, *from_term),
+                silent,
+            } => {
+                let reply = self.members.set_owner(*domain, *vm, *from_term);
+                if let Reply::Owner(_) = reply {
+                    self.members
+                        .keep_silences(*domain, silent.as_deref(), index);
+                }
+                reply
+            }
             Command::Take {
                 domain,
                 team,
--- a/crates/zinnia-cell/src/command.rs
+++ b/crates/zinnia-cell/src/command.rs
@@ -19,6 +19,7 @@
 use crate::Digest;
 use crate::KeyHash;
 use crate::KeyId;
+use crate::LeaseChanges;
 
 /// A log entry that changes the cell. Times are milliseconds since the Unix epoch.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -70,6 +71,10 @@
         add: Vec<WorkerProfile>,
         /// Workers to remove.
         remove: Vec<WorkerId>,
+        /// Changes of the workers whose task leases are renewed. Builds that do not know the field
+        /// ignore it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        leases: Option<LeaseChanges>,
     },
     /// Makes a VM the acting owner of a domain if `from_term` is still the term of the domain.
     SetOwner {
@@ -79,6 +84,11 @@
         vm: VmId,
         /// Current term of the domain; 0 if it never had an acting owner.
         from_term: u64,
+        /// Workers that the proposing VM knows to be silent, whose task leases it renews only after
+        /// an entry that resumes this. An acting owner proposes each term in which it acts itself.
+        /// Builds that renew leases without an entry do not know the field.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        silent: Option<Vec<WorkerId>>,
     },
     /// Moves a part of a team's limit from the unallotted pool to a domain.
     ///
--- a/crates/zinnia-cell/src/lib.rs
+++ b/crates/zinnia-cell/src/lib.rs
@@ -27,6 +27,7 @@
 mod reply;
 mod retention;
 mod rows;
+mod silence;
 mod view;
 
 pub use calls::CallOutcome;
@@ -61,3 +62,5 @@
 pub use reply::Refusal;
 pub use reply::Reply;
 pub use retention::Retention;
+pub use silence::LeaseChanges;
+pub use silence::Silence;
--- a/crates/zinnia-cell/src/members.rs
+++ b/crates/zinnia-cell/src/members.rs
@@ -10,9 +10,12 @@
 use zinnia_types::WorkerId;
 use zinnia_types::worker::WorkerProfile;
 
+use crate::LeaseChanges;
 use crate::Refusal;
 use crate::Reply;
+use crate::Silence;
 use crate::Vm;
+use crate::silence::DomainSilences;
 
 /// Acting owner of a domain: the VM that schedules its tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +35,9 @@
     /// Highest term that any acting owner has had.
     #[serde(rename = "term")]
     last_term: u64,
+    /// Silent workers of the domains whose acting owners log them.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    silences: BTreeMap<DomainId, DomainSilences>,
 }
 
 impl Members {
@@ -66,6 +72,9 @@
     pub(crate) fn update_workers(&mut self, add: &[WorkerProfile], remove: &[WorkerId]) -> Reply {
         for id in remove {
             self.workers.remove(id);
+            for silences in self.silences.values_mut() {
+                silences.workers.remove(id);
+            }
         }
         for profile in add {
             self.workers.insert(profile.worker, profile.clone());
@@ -92,6 +101,53 @@
         Reply::Owner(owner)
     }
 
+    /// Keeps those silent workers of a domain for its new term of which the proposer knows as well.
+    /// It may renew the leases of the others without an entry, since it has restored a snapshot of
+    /// a build without silent workers, or is such a build itself and sends no list.
+    pub(crate) fn keep_silences(
+        &mut self,
+        domain: DomainId,
+        silent: Option<&[WorkerId]>,
+        index: u64,
+    ) {
+        let Some(silent) = silent else {
+            self.silences.remove(&domain);
+            return;
+        };
+        let silences = self.silences.entry(domain).or_default();
+        silences.index = index;
+        silences.workers.retain(|worker, _| silent.contains(worker));
+    }
+
+    /// Applies changes of the workers whose task leases are renewed.
+    pub(crate) fn change_leases(
+        &mut self,
+        changes: &LeaseChanges,
+        index: u64,
+    ) -> Result<(), Refusal> {
+        self.check_term(changes.domain, changes.term)?;
+        let silences = self.silences.get_mut(&changes.domain);
+        if silences.is_some_and(|s| s.apply(changes, index)) {
+            Ok(())
+        } else {
+            let owner = self.owner(changes.domain);
+            Err(Refusal::StaleTerm { owner })
+        }
+    }
+
+    pub(crate) fn silence(&self, domain: DomainId, worker: WorkerId) -> Option<Silence> {
+        self.silences.get(&domain)?.workers.get(&worker).copied()
+    }
+
+    pub(crate) fn silent_workers(&self, domain: DomainId) -> Vec<WorkerId> {
+        let silences = self.silences.get(&domain);
+        silences.map_or(Vec::new(), |s| s.workers.keys().copied().collect())
+    }
+
+    pub(crate) fn lease_index(&self, domain: DomainId) -> Option<u64> {
+        self.silences.get(&domain).map(|s| s.index)
+    }
+
     /// Refuses a proposal that does not carry the current term of the domain.
     pub(crate) fn check_term(&self, domain: DomainId, term: u64) -> Result<(), Refusal> {
         let owner = self.owner(domain);
--- a/crates/zinnia-cell/src/plan.rs
+++ b/crates/zinnia-cell/src/plan.rs
@@ -169,6 +169,7 @@
             domain,
             vm: vm.id,
             from_term: owner.term,
+            silent: Some(cell.silent_workers(domain)),
         })
     });
     commands.collect()
@@ -216,6 +217,7 @@
                 domain,
                 vm,
                 from_term: owner.map_or(0, |o| o.term),
+                silent: Some(self.cell.silent_workers(domain)),
             });
         }
         commands
@@ -285,6 +287,7 @@
         (!remove.is_empty()).then(|| Command::Workers {
             add: Vec::new(),
             remove,
+            leases: None,
         })
     }
 
--- a/crates/zinnia-cell/src/view.rs
+++ b/crates/zinnia-cell/src/view.rs
@@ -24,6 +24,7 @@
 use crate::LiveJob;
 use crate::Owner;
 use crate::Retention;
+use crate::Silence;
 use crate::VersionStamp;
 use crate::Vm;
 use crate::WithdrawnDigest;
@@ -132,6 +133,25 @@
         self.state.members.workers.get(&id)
     }
 
+    /// The last renewal of a worker's task leases, if the acting owner of its domain has stopped
+    /// renewing them.
+    pub fn silence(&self, domain: DomainId, worker: WorkerId) -> Option<Silence> {
+        self.state.members.silence(domain, worker)
+    }
+
+    /// Workers of a domain whose task leases are not renewed, for [`Command::SetOwner`].
+    ///
+    /// [`Command::SetOwner`]: crate::Command::SetOwner
+    pub fn silent_workers(&self, domain: DomainId) -> Vec<WorkerId> {
+        self.state.members.silent_workers(domain)
+    }
+
+    /// Index of the entry that last changed which task leases of a domain are renewed; `None` if
+    /// its acting owner does not log this.
+    pub fn lease_index(&self, domain: DomainId) -> Option<u64> {
+        self.state.members.lease_index(domain)
+    }
+
     /// The part of an allotment that may be used now.
     ///
     /// While the allotments of the team exceed a lowered limit in some dimension, this is zero in
--- a/crates/zinnia-cell/tests/cell/build.rs
+++ b/crates/zinnia-cell/tests/cell/build.rs
@@ -141,6 +141,7 @@
         domain: domain(domain_name),
         vm: VmId(vm),
         from_term,
+        silent: Some(Vec::new()),
     }
 }
 
--- a/crates/zinnia-cell/tests/cell/main.rs
+++ b/crates/zinnia-cell/tests/cell/main.rs
@@ -11,4 +11,5 @@
 mod retention;
 #[path = "../../examples/cell_escrow/rounds.rs"]
 mod rounds;
+mod silence;
 mod work;
--- a/crates/zinnia-cell/tests/cell/plan.rs
+++ b/crates/zinnia-cell/tests/cell/plan.rs
@@ -298,6 +298,7 @@
     let add_workers = Command::Workers {
         add,
         remove: vec![],
+        leases: None,
     };
     apply(&mut cell, &add_workers);
     cell.withdraw_locally(&[key("k")]);
@@ -319,6 +320,7 @@
         Command::Workers {
             add: vec![],
             remove: vec![WorkerId::new("w1").unwrap()],
+            leases: None,
         },
         // VM 3 is an acting owner, VM 4 a voter until it is replaced, and VM 6 may be isolated.
         Command::RemoveVm { id: VmId(2) },
--- a/crates/zinnia-daemon/src/apply.rs
+++ b/crates/zinnia-daemon/src/apply.rs
@@ -17,7 +17,7 @@
     pub fn apply(&mut self, index: u64, command: &Command, now: Time) -> Reply {
         let reply = self.cell.apply(index, command);
         self.authority.record_applied(index);
-        self.handle_reply(command, &reply, now);
+        self.handle_reply(index, command, &reply, now);
         reply
     }
 
@@ -28,11 +28,12 @@
             tracing::error!(step = "restore", %error, "snapshot cannot be restored");
             return;
         }
+        self.snapshots += 1;
         self.schedulers.clear();
         self.authority.record_applied(index);
     }
 
-    fn handle_reply(&mut self, command: &Command, reply: &Reply, now: Time) {
+    fn handle_reply(&mut self, index: u64, command: &Command, reply: &Reply, now: Time) {
         match (command, reply) {
             (Command::ApplyDocument { .. }, Reply::Document { repeated, stamp }) if !repeated => {
                 tracing::info!(version = stamp.version, "document is in force");
@@ -59,7 +60,11 @@
             }
             (Command::Cancel { .. }, Reply::Cancelled { jobs }) => self.cancel_jobs(jobs, now),
             (Command::Rehome { job, .. }, Reply::Done) => self.submit_job(*job, now),
-            (Command::Workers { add, .. }, Reply::Done) => {
+            (Command::Workers { add, leases, .. }, Reply::Done) => {
+                if let Some(changes) = leases {
+                    self.lease_changes_applied(index, changes, now);
+                }
+                self.trim_silence_times();
                 self.for_each_scheduler(|scheduler, cell, commands| {
                     scheduler.update_remote_capacities(cell, now, commands);
                 });
--- a/crates/zinnia-daemon/src/domain_scheduler.rs
+++ b/crates/zinnia-daemon/src/domain_scheduler.rs
@@ -26,6 +26,8 @@
 use zinnia_types::WorkerId;
 use zinnia_types::worker::AttemptEnd;
 
+use crate::silence::Renewals;
+
 /// A task end that must be recorded in the log before the worker may drop its report.
 #[derive(Clone, Copy, Debug)]
 pub struct UnrecordedEnd {
@@ -82,6 +84,8 @@
     /// Workers of the domain at the takeover that have not reported and whose task leases may still
     /// be valid.
     pub unreported: BTreeSet<WorkerId>,
+    /// Renewals of task leases in this term.
+    pub renewals: Renewals,
 }
 
 /// A command to a worker that a scheduler asks for.
@@ -120,6 +124,7 @@
             waiting_since: BTreeMap::new(),
             quarantined: BTreeMap::new(),
             unreported: workers.iter().map(|p| p.worker).collect(),
+            renewals: Renewals::default(),
         };
         let offset_ms = clock::wall_ms() - i64::try_from(now.0).unwrap_or(0);
         let mut commands = Vec::new();
--- a/crates/zinnia-daemon/src/engine.rs
+++ b/crates/zinnia-daemon/src/engine.rs
@@ -101,6 +101,10 @@
     /// Acting owners that a proposed command replaces. Their pings no longer renew their VM leases,
     /// so that the leases run out.
     pub outgoing_owners: BTreeSet<VmId>,
+    /// When this process applied each entry that declared workers silent, on its own clock.
+    pub silence_times: BTreeMap<u64, Time>,
+    /// Number of snapshots that replaced the replicated state.
+    pub snapshots: u64,
     /// Whether this VM is draining and takes no new work.
     pub draining: bool,
     /// Commands to be sent to workers.
@@ -121,6 +125,8 @@
             peer_statuses: BTreeMap::new(),
             liveness: None,
             outgoing_owners: BTreeSet::new(),
+            silence_times: BTreeMap::new(),
+            snapshots: 0,
             draining: false,
             worker_commands: Vec::new(),
         }
--- a/crates/zinnia-daemon/src/http/workers.rs
+++ b/crates/zinnia-daemon/src/http/workers.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use axum::Json;
 use axum::body::Bytes;
@@ -23,6 +24,11 @@
 
 /// Delay before a failed proposal to register a worker is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Longest time for which the announcement of a silent worker waits until the log resumes the
+/// renewal of its leases. It is shorter than the timeout of the announcement, 700 ms.
+const RESUME_WAIT: Duration = Duration::from_millis(600);
+/// Interval at which a waiting announcement is tried again.
+const RESUME_POLL: Duration = Duration::from_millis(20);
 
 /// `POST /v1/workers/announce`.
 pub(super) async fn announce(
@@ -31,9 +37,20 @@
 ) -> Result<Json<AnnounceReply>, ApiError> {
     let profile = message.profile.clone();
     let name = shared.settings.name;
-    let reply = shared
-        .with_engine(|engine, now| engine.announce(message, now))
-        .map_err(|e| ApiError::from(e).at(name.as_str()))?;
+    let deadline = Instant::now() + RESUME_WAIT;
+    let reply = loop {
+        let (reply, is_resuming) = shared.with_engine(|engine, now| {
+            let reply = engine.announce(message.clone(), now);
+            let is_resuming = engine.awaits_resumption(profile.domain, profile.worker);
+            (reply, is_resuming)
+        });
+        // The worker would try again only after a backoff.
+        if reply.is_ok() || !is_resuming || Instant::now() >= deadline {
+            break reply;
+        }
+        tokio::time::sleep(RESUME_POLL).await;
+    };
+    let reply = reply.map_err(|e| ApiError::from(e).at(name.as_str()))?;
     if matches!(reply, AnnounceReply::Accepted { .. }) {
         register_worker(&shared, profile);
     }
@@ -85,8 +102,7 @@
     shared.runtime.clone().spawn(async move {
         let command = Command::Workers {
             add: vec![profile],
-            remove: Vec::new(),
-        };
+            remove: Vec::new(), leases: None };
         while shared.with_engine(|engine, _| engine.owned_workers.contains_key(&worker)) {
             match shared.propose(&command).await {
                 Ok(_) => return,
--- a/crates/zinnia-daemon/src/leader.rs
+++ b/crates/zinnia-daemon/src/leader.rs
@@ -227,14 +227,18 @@
         };
         let schedulers = engine.schedulers.values();
         schedulers
-            .filter_map(|s| Some((s.domain, s.term, successor(s.domain)?)))
+            .filter_map(|s| {
+                let silent = engine.cell.silent_workers(s.domain);
+                Some((s.domain, s.term, successor(s.domain)?, silent))
+            })
             .collect::<Vec<_>>()
     });
-    for (domain, from_term, vm) in moves {
+    for (domain, from_term, vm, silent) in moves {
         let command = Command::SetOwner {
             domain,
             vm,
             from_term,
+            silent: Some(silent),
         };
         let moved = shared.propose(&command).await.is_ok();
         tracing::info!(%domain, %vm, moved, "handing over acting ownership before the drain ends");
--- a/crates/zinnia-daemon/src/lib.rs
+++ b/crates/zinnia-daemon/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod peers;
 pub mod settings;
 pub mod shared;
+pub mod silence;
 pub mod telemetry;
 pub mod traffic;
 pub mod worker_command;
--- a/crates/zinnia-daemon/src/owned_worker.rs
+++ b/crates/zinnia-daemon/src/owned_worker.rs
@@ -115,6 +115,9 @@
             let text = "a newer announcement of this worker was answered already";
             return Err(ErrorBody::new(Code::StaleEpoch, "announce", text));
         }
+        if !self.note_renewal(domain, worker, now) {
+            return Err(renewal_refused("announce"));
+        }
         let mut owned = OwnedWorker {
             profile: message.profile,
             epoch: message.epoch,
@@ -203,6 +206,9 @@
             let text = "this VM has no authority to act at present; leases are not renewed";
             return Err(ErrorBody::new(Code::Unavailable, "heartbeat", text));
         }
+        if !self.note_renewal(domain, worker, now) {
+            return Err(renewal_refused("heartbeat"));
+        }
         metrics::counter!("zinnia_heartbeats_total").increment(1);
         let Some(owned) = self.owned_workers.get_mut(&worker) else {
             return stale("this VM does not own the worker");
@@ -326,13 +332,22 @@
                 }
             }
         }
-        // The previous acting owner renewed no lease after its own VM lease had ended, which was at
-        // least a margin before the takeover.
-        for scheduler in self.schedulers.values_mut() {
-            if now.since(scheduler.owned_since) < expired_after {
-                continue;
-            }
-            for worker in std::mem::take(&mut scheduler.unreported) {
+        self.expire_unreported(expired_after, now);
+    }
+
+    /// Marks the task leases of workers that have not reported since the takeover as expired, once
+    /// they have run out.
+    fn expire_unreported(&mut self, expired_after: u64, now: Time) {
+        let mut expired = Vec::new();
+        for scheduler in self.schedulers.values() {
+            let is_expired =
+                |&w: &WorkerId| now.since(self.silent_since(scheduler, w)) >= expired_after;
+            let workers = scheduler.unreported.iter().copied().filter(is_expired);
+            expired.extend(workers.map(|w| (scheduler.domain, w)));
+        }
+        for (domain, worker) in expired {
+            if let Some(scheduler) = self.schedulers.get_mut(&domain) {
+                scheduler.unreported.remove(&worker);
                 scheduler.step(
                     Event::LeaseExpired { worker },
                     now,
@@ -359,6 +374,11 @@
     }
 }
 
+fn renewal_refused(step: &str) -> ErrorBody {
+    let text = "the worker counts as silent until the log resumes the renewal of its leases";
+    ErrorBody::new(Code::Unavailable, step, text)
+}
+
 fn ended_attempt(report: &AttemptReport) -> Option<AttemptId> {
     matches!(report.state, TaskState::Ended { .. }).then_some(report.attempt)
 }
--- a/crates/zinnia-daemon/src/proposals.rs
+++ b/crates/zinnia-daemon/src/proposals.rs
@@ -48,6 +48,7 @@
     while ticker.tick().await {
         hand_back_domains(&shared).await;
         claim_domains(&shared).await;
+        crate::silence::propose_lease_changes(&shared).await;
         crate::journal::merge_jobs(&shared).await;
         let pending = shared.with_engine(|engine, _| {
             let has_pending = |s: &&crate::domain_scheduler::DomainScheduler| s.has_pending();
@@ -74,16 +75,27 @@
     });
     for (domain, from_term) in unclaimed {
         let vm = shared.id();
+        let (silent, snapshots) = shared.with_engine(|engine, _| {
+            let silent = engine.cell.silent_workers(domain);
+            (silent, engine.snapshots)
+        });
         let command = Command::SetOwner {
             domain,
             vm,
             from_term,
+            silent: Some(silent),
         };
         if let Ok(Reply::Owner(owner)) = shared.propose(&command).await
             && owner.vm == vm
             && owner.term > from_term
         {
-            shared.with_engine(|engine, now| engine.begin_acting(domain, owner.term, now));
+            // After a snapshot this VM may know fewer silent workers than it has listed. It then
+            // proposes itself again, since it acts only with the list that the others keep.
+            shared.with_engine(|engine, now| {
+                if engine.snapshots == snapshots {
+                    engine.begin_acting(domain, owner.term, now);
+                }
+            });
         }
     }
 }
--- a/crates/zinnia-daemon/tests/domain/faults.rs
+++ b/crates/zinnia-daemon/tests/domain/faults.rs
@@ -147,6 +147,7 @@
                     domain: domain(),
                     vm: vm(next).id,
                     from_term,
+                    silent: Some(self.silent_workers(LEADER)),
                 });
                 None
             }
--- a/crates/zinnia-daemon/tests/domain/worker.rs
+++ b/crates/zinnia-daemon/tests/domain/worker.rs
@@ -4,8 +4,12 @@
 
 use zinnia_agent::Action;
 use zinnia_agent::Agent;
+use zinnia_agent::ControlReply;
 use zinnia_agent::Event;
+use zinnia_agent::Reply;
 use zinnia_agent::Settings;
+use zinnia_sched::Event as SchedEvent;
+use zinnia_sched::StartRefusal;
 use zinnia_types::AttemptId;
 use zinnia_types::DomainId;
 use zinnia_types::Epoch;
@@ -14,6 +18,8 @@
 use zinnia_types::Time;
 use zinnia_types::WorkerId;
 use zinnia_types::worker::AttemptEnd;
+use zinnia_types::worker::StartReply;
+use zinnia_types::worker::StopReply;
 use zinnia_types::worker::WorkerProfile;
 
 /// Resources of each worker: two tasks of the test fit.
@@ -120,3 +126,22 @@
     settings.search.vms = vms.to_vec();
     Agent::new(settings, profile.clone())
 }
+
+/// The scheduler's event for the answer of a worker; `None` if a later report tells the end.
+pub(crate) fn scheduler_event(attempt: AttemptId, reply: Option<Reply>) -> Option<SchedEvent> {
+    let refused = |reason| Some(SchedEvent::Refused { attempt, reason });
+    match reply {
+        None | Some(Reply::Stop(StopReply::StaleEpoch)) => Some(SchedEvent::Unanswered { attempt }),
+        Some(Reply::Start(StartReply::Started)) => Some(SchedEvent::Started { attempt }),
+        Some(Reply::Start(StartReply::StaleEpoch)) => refused(StartRefusal::StaleEpoch),
+        Some(Reply::Start(StartReply::NoCapacity { free })) => {
+            refused(StartRefusal::NoCapacity { free })
+        }
+        Some(Reply::Start(StartReply::Leaving)) => refused(StartRefusal::Leaving),
+        Some(Reply::Start(StartReply::Refused)) => refused(StartRefusal::Tombstone),
+        Some(Reply::Stop(StopReply::Stopped { end })) => Some(SchedEvent::Stopped { attempt, end }),
+        Some(Reply::Stop(StopReply::Stopping)) => None,
+        Some(Reply::Control(ControlReply::Done)) => None,
+        Some(Reply::Control(_)) => None,
+    }
+}
