--- a/crates/zinnia-plan/tests/silence.rs
+++ b/crates/zinnia-plan/tests/silence.rs
@@ -14,16 +14,21 @@
 use zinnia_plan::Record;
 use zinnia_plan::Settings;
 use zinnia_plan::StartOutcome;
+use zinnia_plan::StoppedRenewal;
 
 /// Time from the entry that stopped the renewal until the leader is replaced.
 const SILENT_MS: u64 = 3_000;
 
 fn changes(term: u64, stopped: &[&str], resumed: &[&str]) -> LeaseChanges {
-    let names = |list: &[&str]| list.iter().map(|&name| name.to_owned()).collect();
+    let stop = |&name: &&str| StoppedRenewal {
+        worker: name.to_owned(),
+        wait_ms: Settings::default().lease_ms * 103 / 100,
+    };
     LeaseChanges {
         term,
-        stopped: names(stopped),
-        resumed: names(resumed),
+        stopped: stopped.iter().map(stop).collect(),
+        resumed: resumed.iter().map(|&name| name.to_owned()).collect(),
+        ..LeaseChanges::default()
     }
 }
 
@@ -82,7 +87,7 @@
         },
         Case {
             name: "state from a snapshot",
-            event: |sim| sim.silences.clear(),
+            event: |sim| sim.lease_times.clear(),
             counts: false,
         },
         Case {
@@ -133,7 +138,13 @@
     sim.poll_failed(&poll);
     // The entry that stops the renewal is proposed, and the worker answers before it is applied.
     let mut plan = sim.plan_after(500);
-    assert_eq!(plan.lease_changes.stopped, ["w"]);
+    let stopped: Vec<_> = plan
+        .lease_changes
+        .stopped
+        .iter()
+        .map(|s| &s.worker)
+        .collect();
+    assert_eq!(stopped, ["w"]);
     let stop = plan.lease_changes;
     sim.report(&plan.polls.remove(0), &[run_key(&order)], Vec::new());
     let poll = sim.plan_after(10).polls.remove(0);
@@ -180,3 +191,32 @@
         assert_eq!(left.resumed, ["v"], "{}", case.name);
     }
 }
+
+/// Guards against a run of a task that is to last which a new leader takes for one that a delayed order may
+/// still start, and against an entry for each run of other tasks.
+#[test]
+fn received_runs_of_lasting_tasks_are_told_once() {
+    for long_running in [true, false] {
+        let mut sim = Simulation::new(common::document(None));
+        sim.add_worker(&incarnation("w", 4_000));
+        let lasting = zinnia_plan::Step {
+            long_running,
+            ..step(1, 1_000)
+        };
+        sim.submit(job(vec![lasting]));
+        let order = sim.start_tasks().pop().expect("the task is started");
+        assert_eq!(sim.plan_after(100).lease_changes.received, []);
+        let clock_ms = sim.now + common::WORKER_CLOCK_LEAD_MS;
+        sim.start_answered(&order, &StartOutcome::Accepted { clock_ms });
+        let mut told = Vec::new();
+        for _ in 0..3 {
+            told.extend(sim.plan_after(100).lease_changes.received);
+        }
+        let expected = if long_running {
+            vec![run_key(&order)]
+        } else {
+            Vec::new()
+        };
+        assert_eq!(told, expected, "long-running: {long_running}");
+    }
+}
