--- a/crates/zinnia-plan/tests/losses/cell.rs
+++ b/crates/zinnia-plan/tests/losses/cell.rs
@@ -8,12 +8,12 @@
 use zinnia_plan::EndReason;
 use zinnia_plan::Leader;
 use zinnia_plan::LeaseChanges;
+use zinnia_plan::LeaseTimes;
 use zinnia_plan::Plan;
 use zinnia_plan::QueryBudget;
 use zinnia_plan::Record;
 use zinnia_plan::Reply;
 use zinnia_plan::Settings;
-use zinnia_plan::SilenceTimes;
 use zinnia_plan::StartOrder;
 use zinnia_plan::State;
 use zinnia_plan::lease_bound_ms;
@@ -65,7 +65,7 @@
     offset: u64,
     apply_ms: u64,
     pub(crate) state: State,
-    silences: SilenceTimes,
+    lease_times: LeaseTimes,
     applied: usize,
     pub(crate) leader: Option<Leader>,
     /// The term that it leads as far as it knows.
@@ -86,7 +86,7 @@
             offset: rng.random_range(1_000..1_000_000),
             apply_ms: rng.random_range(1..40),
             state: State::default(),
-            silences: SilenceTimes::default(),
+            lease_times: LeaseTimes::default(),
             applied: 0,
             leader: None,
             term: None,
@@ -269,7 +269,7 @@
         let m = &mut self.members[member];
         m.up = true;
         m.state = State::default();
-        m.silences = SilenceTimes::default();
+        m.lease_times = LeaseTimes::default();
         m.applied = 0;
     }
 
@@ -353,10 +353,10 @@
         m.last_pass = now;
         m.next_pass = now + self.rng.random_range(30..60);
         let clock = m.clock(now);
-        let (state, silences) = (&m.state, &m.silences);
+        let (state, lease_times) = (&m.state, &m.lease_times);
         let leader = m
             .leader
-            .get_or_insert_with(|| Leader::new(settings(), self.term, state, silences, clock));
+            .get_or_insert_with(|| Leader::new(settings(), self.term, state, lease_times, clock));
         let budget = QueryBudget::default();
         let plan = leader.plan(state, !m.starts_pending, budget, clock, wall_ms(now));
         if !plan.starts.is_empty() {
@@ -376,7 +376,7 @@
     batch.drop_outdated(entry.term);
     let clock = m.clock(now);
     let replies = m.state.apply(&batch);
-    m.silences.applied(&m.state, clock);
+    m.lease_times.applied(&m.state, clock);
     let Some(leader) = m.leader.as_mut() else {
         return;
     };
