--- a/crates/zinnia-plan/tests/losses/check.rs
+++ b/crates/zinnia-plan/tests/losses/check.rs
@@ -22,6 +22,8 @@
     AfterDone,
     /// A task that is to last does not run again in time.
     Late,
+    /// A job that is to last is shown as ended.
+    GivenUp,
 }
 
 /// A violation of a rule.
@@ -69,6 +71,13 @@
         self.lasting.entry(task).or_insert(lasting);
     }
 
+    /// Records that the job of a lasting task is not open any more.
+    pub(crate) fn given_up(&mut self, task: TaskId, now: u64) {
+        if self.lasting.remove(&task).is_some() {
+            self.fail(Kind::GivenUp, now, task, "its job is shown as ended");
+        }
+    }
+
     /// Records a violation.
     pub(crate) fn fail(&mut self, kind: Kind, now: u64, task: TaskId, text: &str) {
         self.note(now, format!("VIOLATION {kind:?} {task}: {text}"));
--- a/crates/zinnia-plan/tests/losses/sim.rs
+++ b/crates/zinnia-plan/tests/losses/sim.rs
@@ -19,6 +19,7 @@
 use zinnia_plan::Resources;
 use zinnia_plan::RunOrder;
 use zinnia_plan::StartOutcome;
+use zinnia_plan::Status;
 use zinnia_plan::Step;
 use zinnia_plan::TaskId;
 use zinnia_plan::Team;
@@ -412,13 +413,14 @@
             self.checks.note(now, text);
         }
         let changes = &plan.lease_changes;
-        if !changes.is_empty() {
-            let text = format!(
-                "renewal stopped {:?}, resumed {:?}",
-                changes.stopped, changes.resumed
-            );
+        for stopped in &changes.stopped {
+            let text = format!("renewal stopped, {stopped:?}");
             self.checks.note(now, text);
         }
+        for worker in &changes.resumed {
+            self.checks
+                .note(now, format!("renewal of {worker} resumed"));
+        }
         if !plan.records.is_empty() || !changes.is_empty() {
             self.cell
                 .propose(member, plan.records, plan.lease_changes, now);
@@ -745,8 +747,10 @@
     fn check_lasting(&mut self) {
         let now = self.now;
         for id in lasting_jobs() {
-            if self.cell.newest_state().jobs.contains_key(&id) {
-                self.checks.accepted(task_of(id), now);
+            match self.cell.newest_state().jobs.get(&id).map(|j| j.status) {
+                Some(Status::Open) => self.checks.accepted(task_of(id), now),
+                Some(_) => self.checks.given_up(task_of(id), now),
+                None => {}
             }
         }
         let has_room = |m: &&Machine| {
