--- a/crates/zinnia-plan/tests/losses/cell.rs
+++ b/crates/zinnia-plan/tests/losses/cell.rs
@@ -120,7 +120,8 @@
 /// What the application of entries by the leader has led to.
 #[derive(Default)]
 pub(crate) struct Applied {
-    pub(crate) orders: Vec<StartOrder>,
+    /// Orders to be sent, each with its sender.
+    pub(crate) orders: Vec<(usize, StartOrder)>,
 }
 
 /// The members and their log.
@@ -239,7 +240,10 @@
             if !m.up || m.cut.is_some() || !is_due {
                 return;
             }
-            apply_entry(m, entry, now, applied);
+            let orders = apply_entry(m, entry, now);
+            applied
+                .orders
+                .extend(orders.into_iter().map(|o| (member, o)));
         }
     }
 
@@ -335,7 +339,7 @@
         let log = &self.log;
         // The member is ready once it has applied all that was committed before its term.
         while let Some(entry) = log.get(m.applied) {
-            apply_entry(m, entry, now, &mut Applied::default());
+            apply_entry(m, entry, now);
         }
     }
 
@@ -370,15 +374,17 @@
     UNIX_START_MS + i64::try_from(now).expect("the simulation is short")
 }
 
-fn apply_entry(m: &mut Member, entry: &Entry, now: u64, applied: &mut Applied) {
+/// Applies an entry. Returns the orders that the member sends as the leader.
+fn apply_entry(m: &mut Member, entry: &Entry, now: u64) -> Vec<StartOrder> {
     m.applied += 1;
     let mut batch = Batch::clone(&entry.batch);
     batch.drop_outdated(entry.term);
     let clock = m.clock(now);
     let replies = m.state.apply(&batch);
     m.lease_times.applied(&m.state, clock);
+    let mut orders = Vec::new();
     let Some(leader) = m.leader.as_mut() else {
-        return;
+        return orders;
     };
     if let Some(changes) = &batch.lease_changes {
         leader.lease_changes_applied(changes, clock);
@@ -387,10 +393,8 @@
         match (record, reply) {
             (Record::Start(_), Reply::Started(starts)) => {
                 m.starts_pending = false;
-                let orders = starts
-                    .iter()
-                    .filter_map(|s| leader.prepare_start(&m.state, s, clock));
-                applied.orders.extend(orders);
+                let prepare = |s| leader.prepare_start(&m.state, s, clock);
+                orders.extend(starts.iter().filter_map(prepare));
             }
             (Record::Ends { worker, list, .. }, _) => {
                 for end in list.iter().filter(|e| e.reason == EndReason::Done) {
@@ -402,4 +406,5 @@
         }
     }
     m.wake(now);
+    orders
 }
--- a/crates/zinnia-plan/tests/losses/main.rs
+++ b/crates/zinnia-plan/tests/losses/main.rs
@@ -7,10 +7,12 @@
 
 mod cell;
 mod check;
+mod faults;
 mod network;
 mod schedule;
 mod sim;
 mod worker;
+mod workload;
 
 use std::collections::BTreeMap;
 use std::env;
--- a/crates/zinnia-plan/tests/losses/network.rs
+++ b/crates/zinnia-plan/tests/losses/network.rs
@@ -2,6 +2,7 @@
 
 use rand::Rng;
 use rand::rngs::SmallRng;
+use zinnia_plan::Heartbeat;
 use zinnia_plan::Poll;
 use zinnia_plan::Report;
 use zinnia_plan::RunOrder;
@@ -15,7 +16,7 @@
 /// Time after which a connection that is not established counts as failed.
 const CONNECT_TIMEOUT_MS: u64 = 120;
 /// Longest time until an order without an answer is carried out.
-const MAX_DELAY_MS: u64 = 12_000;
+pub(crate) const MAX_DELAY_MS: u64 = 12_000;
 
 /// What a leader sends to a worker.
 #[derive(Clone, Debug)]
@@ -69,6 +70,10 @@
     Arrive { call: Call, answered: bool },
     /// The outcome of a call is known.
     Answer { call: Call, answer: Answer },
+    /// A member sends the order of a committed start.
+    Order { member: usize, order: StartOrder },
+    /// A late heartbeat arrives.
+    Beat(Heartbeat),
 }
 
 /// How the path to a worker is at a moment.
--- a/crates/zinnia-plan/tests/losses/schedule.rs
+++ b/crates/zinnia-plan/tests/losses/schedule.rs
@@ -72,8 +72,8 @@
         relayed: bool,
         ms: u64,
     },
-    /// The leader is cut off from the other members.
-    LeaderCut { ms: u64 },
+    /// The leader is cut off from the other members, or frozen.
+    LeaderCut { ms: u64, frozen: bool },
 }
 
 /// Losses, each with its time.
@@ -124,7 +124,7 @@
 /// Time until the fault is over.
 fn duration_ms(fault: &Fault) -> u64 {
     match fault {
-        Fault::WorkerCut { ms, .. } | Fault::LeaderCut { ms } => *ms,
+        Fault::WorkerCut { ms, .. } | Fault::LeaderCut { ms, .. } => *ms,
         Fault::WorkerLost { .. } | Fault::LeaderLost { .. } | Fault::StepDown => 0,
     }
 }
@@ -205,7 +205,8 @@
 
     fn cut_leader(&mut self, at: u64) -> u64 {
         let ms = self.rng.random_range(100..4_000);
-        self.add(at, Fault::LeaderCut { ms });
+        let frozen = self.rng.random_bool(0.4);
+        self.add(at, Fault::LeaderCut { ms, frozen });
         at + ms
     }
 
--- a/crates/zinnia-plan/tests/losses/sim.rs
+++ b/crates/zinnia-plan/tests/losses/sim.rs
@@ -2,31 +2,25 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::mem;
 
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use zinnia_plan::Document;
 use zinnia_plan::EndReason;
-use zinnia_plan::Heartbeat;
-use zinnia_plan::JobSpec;
+use zinnia_plan::Leader;
 use zinnia_plan::LeaseChanges;
 use zinnia_plan::Plan;
-use zinnia_plan::Pool;
-use zinnia_plan::Queue;
+use zinnia_plan::Poll;
 use zinnia_plan::Record;
-use zinnia_plan::Resources;
 use zinnia_plan::RunOrder;
+use zinnia_plan::StartOrder;
 use zinnia_plan::StartOutcome;
 use zinnia_plan::Status;
-use zinnia_plan::Step;
 use zinnia_plan::TaskId;
-use zinnia_plan::Team;
 use zinnia_types::JobId;
 
 use crate::cell::Cell;
-use crate::cell::wall_ms;
+use crate::cell::Member;
 use crate::check::Checks;
 use crate::check::Kind;
 use crate::check::Outcome;
@@ -36,58 +30,55 @@
 use crate::network::Event;
 use crate::network::Message;
 use crate::network::Path;
-use crate::schedule::Fault;
 use crate::schedule::Schedule;
-use crate::schedule::Victim;
-use crate::worker::Clock;
 use crate::worker::Incarnation;
 use crate::worker::StartAnswer;
-use crate::worker::WORKER_CPU;
 use crate::worker::Work;
+use crate::workload::LASTING_CPU;
+use crate::workload::lasting_jobs;
+use crate::workload::task_of;
 
-const WORKERS: usize = 8;
-const LASTING_CPU: u64 = 2_000;
-const SHORT_CPU: u64 = 400;
+pub(crate) const WORKERS: usize = 8;
 /// Workers that must have room for a task that is to last before its absence counts.
 const SPARE_WORKERS: usize = 2;
 /// Interval between two checks of the tasks that are to last.
 const CHECK_INTERVAL_MS: u64 = 10;
 /// How long after a loss more calls than usual get no answer.
 const TROUBLE_MS: u64 = 1_000;
-/// When no more short tasks are submitted, before the end.
-const LAST_SUBMIT_MS: u64 = 3_000;
 
 /// A worker's machine.
-struct Machine {
-    name: String,
+pub(crate) struct Machine {
+    pub(crate) name: String,
     /// The incarnation that is up.
-    life: Option<Incarnation>,
-    next_beat: u64,
-    back: Option<u64>,
+    pub(crate) life: Option<Incarnation>,
+    pub(crate) next_beat: u64,
+    pub(crate) back: Option<u64>,
     /// Until when the paths to and from the leader are cut.
-    cut_to: u64,
-    cut_from: u64,
-    relayed: bool,
-    last_trouble: u64,
+    pub(crate) cut_to: u64,
+    pub(crate) cut_from: u64,
+    pub(crate) relayed: bool,
+    pub(crate) last_trouble: u64,
 }
 
 /// A simulation in progress.
-struct Sim {
-    schedule: Schedule,
-    rng: SmallRng,
-    now: u64,
-    cell: Cell,
-    machines: Vec<Machine>,
-    events: BTreeMap<(u64, u64), Event>,
-    open_calls: BTreeSet<u64>,
-    counter: u64,
-    restarts: Vec<(u64, usize)>,
-    joins: Vec<(u64, usize)>,
-    last_victim: usize,
-    next_submit: u64,
-    works: BTreeMap<JobId, Work>,
-    leading: Option<usize>,
-    checks: Checks,
+pub(crate) struct Sim {
+    pub(crate) schedule: Schedule,
+    pub(crate) rng: SmallRng,
+    pub(crate) now: u64,
+    pub(crate) cell: Cell,
+    pub(crate) machines: Vec<Machine>,
+    pub(crate) events: BTreeMap<(u64, u64), Event>,
+    pub(crate) open_calls: BTreeSet<u64>,
+    pub(crate) counter: u64,
+    pub(crate) restarts: Vec<(u64, usize)>,
+    pub(crate) joins: Vec<(u64, usize)>,
+    pub(crate) last_victim: usize,
+    pub(crate) next_submit: u64,
+    pub(crate) works: BTreeMap<JobId, Work>,
+    /// A member that is frozen, and until when.
+    pub(crate) frozen: Option<(usize, u64)>,
+    pub(crate) leading: Option<usize>,
+    pub(crate) checks: Checks,
 }
 
 /// Runs a schedule to its end.
@@ -103,48 +94,6 @@
     }
 }
 
-fn task_of(job: JobId) -> TaskId {
-    TaskId {
-        job,
-        round: 0,
-        step: 0,
-        index: 0,
-    }
-}
-
-fn lasting_jobs() -> impl Iterator<Item = JobId> {
-    (1..=4).map(JobId)
-}
-
-fn document() -> Document {
-    let queue = Queue {
-        name: "quick".to_owned(),
-        host: "a.example".to_owned(),
-        prefix: "/q/".to_owned(),
-        timeout_ms: 3_000,
-        allowance_ms: 250,
-        pool: "desk".to_owned(),
-        max_attempts: 1_000,
-        max_slowdown: 1.5,
-        policy: None,
-        ..Queue::default()
-    };
-    Document {
-        version: 1,
-        queues: vec![queue],
-        pools: vec![Pool {
-            name: "desk".to_owned(),
-            enforces_capacity: true,
-        }],
-        teams: vec![Team {
-            name: "kibo".to_owned(),
-            keys: vec!["key".to_owned()],
-            weight: 1,
-            cap: Resources::default(),
-        }],
-    }
-}
-
 impl Sim {
     fn new(schedule: Schedule) -> Self {
         let mut rng = SmallRng::seed_from_u64(schedule.seed ^ 0x5eed);
@@ -173,6 +122,7 @@
             joins: Vec::new(),
             last_victim: 0,
             works: BTreeMap::new(),
+            frozen: None,
             leading: None,
             checks: Checks::default(),
         }
@@ -193,7 +143,7 @@
         }
     }
 
-    fn push(&mut self, at: u64, event: Event) {
+    pub(crate) fn push(&mut self, at: u64, event: Event) {
         self.counter += 1;
         self.events
             .insert((at.max(self.now + 1), self.counter), event);
@@ -201,8 +151,9 @@
 
     fn advance_cell(&mut self) {
         let applied = self.cell.advance(self.now);
-        for order in applied.orders {
-            self.send_start(order);
+        for (member, order) in applied.orders {
+            let at = self.now + self.rng.random_range(0..20);
+            self.push(at, Event::Order { member, order });
         }
         if self.leading != self.cell.leading {
             self.leading = self.cell.leading;
@@ -214,10 +165,12 @@
         }
     }
 
-    fn send_start(&mut self, order: zinnia_plan::StartOrder) {
-        let Some(member) = self.leading else {
+    /// The loop of a leader takes an order whose start was committed.
+    fn send_start(&mut self, member: usize, order: StartOrder) {
+        if let Some(thaw) = self.frozen_until(member) {
+            self.push(thaw, Event::Order { member, order });
             return;
-        };
+        }
         let may_act = self.cell.may_act(member, self.now);
         let m = &mut self.cell.members[member];
         let clock = m.clock(self.now);
@@ -235,7 +188,7 @@
         let call = Call {
             id: self.counter,
             member,
-            term: leader.map_or(0, |l| l.term()),
+            term: leader.map_or(0, Leader::term),
             message,
         };
         self.open_calls.insert(call.id);
@@ -252,14 +205,27 @@
 
     fn path(&mut self, worker: &str) -> Path {
         let (now, delays) = (self.now, self.schedule.delays);
-        let machine = self.machine(worker);
+        let i = self.machines.iter().position(|m| m.name == worker);
+        let i = i.expect("the worker exists");
+        let machine = &self.machines[i];
         Path {
             open: machine.life.is_some() && now >= machine.cut_to,
-            troubled: now < machine.last_trouble + TROUBLE_MS && machine.last_trouble > 0,
+            troubled: self.is_troubled(i),
             delays,
         }
     }
 
+    pub(crate) fn is_troubled(&self, i: usize) -> bool {
+        let at = self.machines[i].last_trouble;
+        at > 0 && self.now < at + TROUBLE_MS
+    }
+
+    /// Until when a member does nothing, if it is frozen.
+    fn frozen_until(&self, member: usize) -> Option<u64> {
+        let (frozen, until) = self.frozen?;
+        (frozen == member && self.now < until).then_some(until)
+    }
+
     fn deliver(&mut self) {
         while let Some(entry) = self.events.first_entry() {
             if entry.key().0 > self.now {
@@ -267,7 +233,11 @@
             }
             match entry.remove() {
                 Event::Arrive { call, answered } => self.arrive(call, answered),
-                Event::Answer { call, answer } => self.answered(&call, answer),
+                Event::Answer { call, answer } => self.answered(call, answer),
+                Event::Order { member, order } => self.send_start(member, order),
+                Event::Beat(heartbeat) => {
+                    self.receive_beat(&heartbeat);
+                }
             }
         }
     }
@@ -315,7 +285,7 @@
         self.push(at, Event::Answer { call, answer });
     }
 
-    fn start(&mut self, order: &zinnia_plan::StartOrder, answered: bool) -> StartOutcome {
+    fn start(&mut self, order: &StartOrder, answered: bool) -> StartOutcome {
         let now = self.now;
         let (task, run) = (order.common.task, order.common.run);
         let work = self.works[&task.job];
@@ -357,7 +327,11 @@
     }
 
     /// The outcome of a call arrives at the member that made it.
-    fn answered(&mut self, call: &Call, answer: Answer) {
+    fn answered(&mut self, call: Call, answer: Answer) {
+        if let Some(thaw) = self.frozen_until(call.member) {
+            self.push(thaw, Event::Answer { call, answer });
+            return;
+        }
         if !self.open_calls.remove(&call.id) {
             return;
         }
@@ -470,8 +444,8 @@
         }
     }
 
-    fn answer_poll(&mut self, id: u64, poll: zinnia_plan::Poll, answer: Answer) {
-        let acting = |m: &crate::cell::Member| m.leader.as_ref().map(|l| l.term());
+    fn answer_poll(&mut self, id: u64, poll: Poll, answer: Answer) {
+        let acting = |m: &Member| m.leader.as_ref().map(Leader::term);
         // The member and its term do not change while a call is open, or the call is ignored.
         let term = poll.fence >> 20;
         let member = self
@@ -491,259 +465,6 @@
         self.send_answer(call, answer);
     }
 
-    /// A worker sends a heartbeat.
-    fn beat(&mut self, i: usize) {
-        let now = self.now;
-        let pause_ms = self.rng.random_range(350..550);
-        let machine = &mut self.machines[i];
-        machine.next_beat = now + pause_ms;
-        let Some(life) = &mut machine.life else {
-            return;
-        };
-        life.sequence += 1;
-        let heartbeat = Heartbeat {
-            incarnation: zinnia_plan::Incarnation {
-                worker: machine.name.clone(),
-                born: life.born,
-                addr: format!("10.0.0.{i}:80"),
-                pool: "desk".to_owned(),
-                domain: format!("z{}", i % 3),
-                resources: Resources {
-                    cpu: WORKER_CPU,
-                    mem: 100_000,
-                    gpu: 0,
-                },
-                labels: vec!["a".to_owned(), format!("r{i}")],
-            },
-            sequence: life.sequence,
-            clock_ms: life.clock_ms(now),
-            draining: false,
-            remaining_ms: None,
-        };
-        if now < machine.cut_from && !machine.relayed {
-            return;
-        }
-        let Some(member) = self.cell.acting(now) else {
-            machine.next_beat = now + pause_ms.min(150);
-            return;
-        };
-        let m = &mut self.cell.members[member];
-        let clock = m.clock(now);
-        let Some(leader) = m.leader.as_mut() else {
-            return;
-        };
-        let records = leader.heartbeat(&m.state, &heartbeat, clock);
-        if !records.is_empty() {
-            self.cell
-                .propose(member, records, LeaseChanges::default(), now);
-        }
-    }
-
-    fn submit(&mut self) {
-        let now = self.now;
-        if now < self.next_submit {
-            return;
-        }
-        let Some(member) = self.cell.acting(now) else {
-            return;
-        };
-        let mut records = Vec::new();
-        if self.works.is_empty() {
-            records.push(Record::Document {
-                raw: "raw".to_owned(),
-                document: document(),
-            });
-            for id in lasting_jobs() {
-                let work = Work {
-                    cpu: LASTING_CPU,
-                    work_ms: None,
-                };
-                records.push(self.new_job(id, work));
-            }
-        } else {
-            let id = JobId(100 + self.works.len() as u64);
-            let work = Work {
-                cpu: SHORT_CPU,
-                work_ms: Some(self.rng.random_range(100..6_000)),
-            };
-            records.push(self.new_job(id, work));
-        }
-        self.cell
-            .propose(member, records, LeaseChanges::default(), now);
-        let goes_on = now + LAST_SUBMIT_MS < self.schedule.end;
-        self.next_submit = match goes_on {
-            true => now + self.schedule.submit_ms,
-            false => u64::MAX,
-        };
-    }
-
-    fn new_job(&mut self, id: JobId, work: Work) -> Record {
-        self.works.insert(id, work);
-        let step = Step {
-            count: 1,
-            resources: Resources {
-                cpu: work.cpu,
-                mem: 10,
-                gpu: 0,
-            },
-            estimate_ms: work.work_ms.unwrap_or(60_000),
-            long_running: work.work_ms.is_none(),
-            ..Step::default()
-        };
-        Record::Submit {
-            id,
-            queue: "quick".to_owned(),
-            team: "kibo".to_owned(),
-            spec: JobSpec {
-                text: "work".to_owned(),
-                steps: vec![step],
-                repeat: None,
-            },
-        }
-    }
-
-    fn inflict_faults(&mut self) {
-        let now = self.now;
-        let due = self.schedule.faults.iter().filter(|(at, _)| *at == now);
-        for (_, fault) in due.copied().collect::<Vec<_>>() {
-            self.inflict(fault);
-        }
-    }
-
-    fn inflict(&mut self, fault: Fault) {
-        let now = self.now;
-        match fault {
-            Fault::WorkerLost {
-                victim,
-                back_ms,
-                reset,
-            } => {
-                let i = self.victim(victim);
-                self.lose_worker(i, reset);
-                self.machines[i].back = back_ms.map(|ms| now + ms);
-            }
-            Fault::LeaderLost { back_ms } => {
-                if let Some(member) = self.cell.lose_leader(now) {
-                    self.restarts.push((now + back_ms, member));
-                    self.checks.loss(now, now, format!("leader {member} lost"));
-                }
-            }
-            Fault::StepDown => {
-                self.checks.note(now, "leader steps down");
-                self.cell.step_down(now);
-            }
-            Fault::WorkerCut {
-                victim,
-                to_worker,
-                from_worker,
-                relayed,
-                ms,
-            } => {
-                let i = self.victim(victim);
-                let machine = &mut self.machines[i];
-                machine.cut_to = if to_worker { now + ms } else { 0 };
-                machine.cut_from = if from_worker { now + ms } else { 0 };
-                machine.relayed = relayed;
-                machine.last_trouble = now + ms;
-                let text = format!("{} cut off for {ms} ms", machine.name);
-                self.checks.loss(now, now + ms, text);
-            }
-            Fault::LeaderCut { ms } => {
-                if let Some(member) = self.cell.cut_leader(now) {
-                    self.joins.push((now + ms, member));
-                    self.checks.loss(
-                        now,
-                        now + ms,
-                        format!("leader {member} cut off for {ms} ms"),
-                    );
-                }
-            }
-        }
-    }
-
-    fn victim(&mut self, victim: Victim) -> usize {
-        if let Victim::Holder(index) = victim {
-            let job = lasting_jobs().nth(index).expect("the job exists");
-            let holds = |m: &Machine| {
-                let runs = m.life.as_ref().map(|l| &l.runs);
-                runs.is_some_and(|r| r.contains_key(&task_of(job)))
-            };
-            let holder = self.machines.iter().position(holds);
-            self.last_victim = holder.unwrap_or_else(|| self.rng.random_range(0..WORKERS));
-        }
-        self.last_victim
-    }
-
-    fn lose_worker(&mut self, i: usize, reset: bool) {
-        let now = self.now;
-        let machine = &mut self.machines[i];
-        machine.last_trouble = now;
-        let Some(life) = machine.life.take() else {
-            return;
-        };
-        let tasks: Vec<String> = life.runs.keys().map(|t| t.to_string()).collect();
-        let text = format!("{} lost with {tasks:?}", machine.name);
-        self.checks.loss(now, now, text);
-        if reset {
-            let calls: Vec<u64> = life.held_calls().collect();
-            self.reset_calls(&calls);
-        }
-    }
-
-    /// Open calls fail at once, since their connections are reset.
-    fn reset_calls(&mut self, calls: &[u64]) {
-        let now = self.now;
-        for event in mem::take(&mut self.events) {
-            let ((at, counter), event) = event;
-            let is_reset = |call: &Call| calls.contains(&call.id);
-            let at = match &event {
-                Event::Answer { call, .. } if is_reset(call) => now + 2,
-                _ => at,
-            };
-            self.events.insert((at, counter), event);
-        }
-    }
-
-    fn recover(&mut self) {
-        let now = self.now;
-        for i in 0..self.machines.len() {
-            if self.machines[i].back == Some(now) {
-                self.boot(i);
-            }
-        }
-        let due = self.restarts.iter().filter(|(at, _)| *at == now);
-        for (_, member) in due.copied().collect::<Vec<_>>() {
-            self.cell.restart(member);
-            self.checks.note(now, format!("member {member} back"));
-        }
-        let due = self.joins.iter().filter(|(at, _)| *at == now);
-        for (_, member) in due.copied().collect::<Vec<_>>() {
-            self.cell.join_member(member);
-            self.checks.note(now, format!("member {member} joined"));
-        }
-    }
-
-    /// A new incarnation starts.
-    fn boot(&mut self, i: usize) {
-        let now = self.now;
-        let origin = match self.rng.random_bool(0.5) {
-            true => self.rng.random_range(1..5_000),
-            false => self.rng.random_range(1..10_000_000),
-        };
-        let clock = Clock {
-            origin,
-            started: now,
-            lag: self.rng.random_range(0..=20),
-        };
-        let first_beat = now + self.rng.random_range(1..300);
-        let machine = &mut self.machines[i];
-        machine.back = None;
-        machine.life = Some(Incarnation::new(wall_ms(now), clock));
-        machine.next_beat = first_beat;
-        self.checks
-            .note(now, format!("{} up", self.machines[i].name));
-    }
-
     fn check_lasting(&mut self) {
         let now = self.now;
         for id in lasting_jobs() {
