--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -7,6 +7,7 @@
 //! or a socket.
 
 mod admission;
+mod assignment;
 mod backlog;
 mod capacity;
 mod crash;
@@ -71,8 +72,10 @@
 pub use record::EndReason;
 pub use record::Incarnation;
 pub use record::LeaseChanges;
+pub use record::ReceivedRun;
 pub use record::Record;
 pub use record::Reply;
+pub use record::ResumedRenewal;
 pub use record::Start;
 pub use record::StoppedRenewal;
 pub use silence::LeaseTimes;
