--- a/crates/zinnia-plan/tests/losses/main.rs
+++ b/crates/zinnia-plan/tests/losses/main.rs
@@ -3,11 +3,16 @@
 //! Replay of one schedule: `LOSSES_SEED=17 cargo test -p zinnia-plan --test losses worker_cut --
 //! --nocapture`. More schedules: `LOSSES_COUNT=2000`, from seed `LOSSES_FIRST` on.
 
-#![expect(clippy::expect_used, reason = "a test must stop if its setup fails")]
+#![expect(
+    clippy::expect_used,
+    clippy::panic,
+    reason = "a test must stop if its setup fails"
+)]
 
 mod cell;
 mod check;
 mod faults;
+mod kept;
 mod network;
 mod schedule;
 mod sim;
--- a/crates/zinnia-plan/tests/losses/schedule.rs
+++ b/crates/zinnia-plan/tests/losses/schedule.rs
@@ -38,6 +38,8 @@
     LeaderCut,
     /// Any of these at random moments.
     Mixed,
+    /// A kept sequence.
+    Kept,
 }
 
 /// Which worker a fault concerns.
@@ -104,14 +106,30 @@
             faults: Vec::new(),
         };
         draw.faults_of(class);
-        let submit_ms = draw.rng.random_range(60..900);
-        let delays = draw.rng.random_bool(0.7);
-        let mut faults = draw.faults;
+        draw.finish(class)
+    }
+
+    /// Given faults; the seed decides all else.
+    pub(crate) fn of(faults: &[(u64, Fault)], seed: u64) -> Self {
+        let draw = Draw {
+            rng: SmallRng::seed_from_u64(seed),
+            seed,
+            faults: faults.to_vec(),
+        };
+        draw.finish(Class::Kept)
+    }
+}
+
+impl Draw {
+    fn finish(mut self, class: Class) -> Schedule {
+        let submit_ms = self.rng.random_range(60..900);
+        let delays = self.rng.random_bool(0.7);
+        let mut faults = self.faults;
         faults.sort_by_key(|(at, _)| *at);
         let last = faults.iter().map(|(at, fault)| at + duration_ms(fault));
         let end = last.max().unwrap_or(CALM_START_MS) + CALM_END_MS;
-        Self {
-            seed,
+        Schedule {
+            seed: self.seed,
             class,
             faults,
             end,
@@ -287,6 +305,7 @@
                 let end = self.cut_leader(at);
                 self.step_down_sometimes(end.max(first));
             }
+            Class::Kept => {}
             Class::Mixed => {
                 let mut at = first;
                 for _ in 0..self.rng.random_range(2..7) {
--- a/crates/zinnia-plan/tests/losses/sim.rs
+++ b/crates/zinnia-plan/tests/losses/sim.rs
@@ -393,7 +393,7 @@
         }
         for worker in &changes.resumed {
             self.checks
-                .note(now, format!("renewal of {worker} resumed"));
+                .note(now, format!("renewal resumed, {worker:?}"));
         }
         if !plan.records.is_empty() || !changes.is_empty() {
             self.cell
