--- a/crates/zinnia-plan/tests/losses/cell.rs
+++ b/crates/zinnia-plan/tests/losses/cell.rs
@@ -27,6 +27,9 @@
 /// Time without contact with a quorum after which a leader must not act.
 const LEADER_LEASE_MS: u64 = 300;
 
+/// Largest offset of a member's wall clock.
+const MAX_SKEW_MS: i64 = 2_000;
+
 /// Unix time at the start of the simulation.
 pub(crate) const UNIX_START_MS: i64 = 1_700_000_000_000;
 
@@ -63,6 +66,8 @@
     up: bool,
     /// Offset of its clock from the time of the simulation.
     offset: u64,
+    /// Offset of its wall clock, in milliseconds.
+    skew: i64,
     apply_ms: u64,
     pub(crate) state: State,
     lease_times: LeaseTimes,
@@ -84,6 +89,7 @@
         Self {
             up: true,
             offset: rng.random_range(1_000..1_000_000),
+            skew: rng.random_range(-MAX_SKEW_MS..MAX_SKEW_MS),
             apply_ms: rng.random_range(1..40),
             state: State::default(),
             lease_times: LeaseTimes::default(),
@@ -183,7 +189,7 @@
         };
         let bound = lease_bound_ms(&m.state, m.leader.as_ref(), &settings(), m.clock(now));
         let batch = Batch {
-            at_ms: wall_ms(now),
+            at_ms: wall_ms(now) + m.skew,
             lease_bound: Some(bound),
             lease_changes: Some(changes),
             records,
@@ -362,7 +368,8 @@
             .leader
             .get_or_insert_with(|| Leader::new(settings(), self.term, state, lease_times, clock));
         let budget = QueryBudget::default();
-        let plan = leader.plan(state, !m.starts_pending, budget, clock, wall_ms(now));
+        let wall = wall_ms(now) + m.skew;
+        let plan = leader.plan(state, !m.starts_pending, budget, clock, wall);
         if !plan.starts.is_empty() {
             m.starts_pending = true;
         }
