--- a/crates/zinnia-plan/tests/losses/faults.rs
+++ b/crates/zinnia-plan/tests/losses/faults.rs
@@ -134,6 +134,7 @@
         let due = self.restarts.iter().filter(|(at, _)| *at == now);
         for (_, member) in due.copied().collect::<Vec<_>>() {
             self.cell.restart(member);
+            self.restarted.insert(member, now);
             self.checks.note(now, format!("member {member} back"));
         }
         let due = self.joins.iter().filter(|(at, _)| *at == now);
--- a/crates/zinnia-plan/tests/losses/sim.rs
+++ b/crates/zinnia-plan/tests/losses/sim.rs
@@ -77,6 +77,8 @@
     pub(crate) works: BTreeMap<JobId, Work>,
     /// A member that is frozen, and until when.
     pub(crate) frozen: Option<(usize, u64)>,
+    /// When members last started again.
+    pub(crate) restarted: BTreeMap<usize, u64>,
     pub(crate) leading: Option<usize>,
     pub(crate) checks: Checks,
 }
@@ -123,6 +125,7 @@
             last_victim: 0,
             works: BTreeMap::new(),
             frozen: None,
+            restarted: BTreeMap::new(),
             leading: None,
             checks: Checks::default(),
         }
@@ -162,6 +165,13 @@
                 None => "no member leads".to_owned(),
             };
             self.checks.note(self.now, text);
+            // The start of a process is a disruption by the users' rules. It matters if the process
+            // leads, since it learns of silent workers anew.
+            let restarted = self.leading.and_then(|m| self.restarted.get(&m).copied());
+            if let Some(at) = restarted {
+                let text = format!("the leader had started again at {at} ms");
+                self.checks.loss(self.now, at, text);
+            }
         }
     }
 
