--- a/review/stand-ins/src/cases.rs
+++ b/review/stand-ins/src/cases.rs
@@ -13,6 +13,8 @@
 pub fn run(name: &str, trouble: bool, record: &str) -> Outcome {
     let case = match name {
         "crashes" => crashes,
+        "route" => route,
+        "pending" => pending,
         "late-submit" => late_submit,
         _ => return Outcome::NotRun(format!("there is no case {name}")),
     };
@@ -98,6 +100,90 @@
     }
 }
 
+/// A job with two steps is accepted. While the first step runs, a version of the configuration replaces
+/// the route by one of another name with the same host, prefix and service.
+fn route(cell: &mut Cell, trouble: bool) -> Outcome {
+    const JOB: &str = "2b0e7a21d94b3611";
+    /// Run time of a task.
+    const STEP_MS: u64 = 3_000;
+    /// `finish_s`.
+    const FINISH_MS: u64 = 14_000;
+    let body = concat!(
+        r#"{"spec":"3000","steps":[{"count":2,"cpu":1000,"memMb":512,"estimateMs":3000},"#,
+        r#"{"count":2,"cpu":1000,"memMb":512,"estimateMs":3000,"dependsOn":[0]}]}"#
+    );
+    match cell.call(1, "POST", JOB, body, 3_000) {
+        Some((status, _)) if (200..300).contains(&status) => {}
+        _ => return Outcome::NotRun("the job was not accepted".to_owned()),
+    }
+    sleep(1_000);
+    if trouble && !cell.put_config(8, "r-plans-2") {
+        return Outcome::NotRun("version 8 was not acknowledged".to_owned());
+    }
+    sleep(2 * STEP_MS + FINISH_MS);
+    let state = state_of(cell, JOB);
+    let ended = cell.record.find(&["end ", JOB, "how=done"]).len();
+    let starts = cell.record.find(&["start ", JOB]).len();
+    let text = format!("the job is shown as {state:?} after {starts} starts and {ended} ends `done` of 4 tasks");
+    // What nothing runs for, with all workers idle, is lost.
+    match state.as_deref() {
+        Some("completed") => Outcome::Held(text),
+        _ if starts < 4 => Outcome::Broken(text),
+        _ => Outcome::Held(text),
+    }
+}
+
+/// Three jobs are accepted just after the worker that is to run them has fallen silent for good. Then
+/// clients ask how many jobs have not begun.
+fn pending(cell: &mut Cell, trouble: bool) -> Outcome {
+    /// `visible_ms` and 2 s more.
+    const VISIBLE_MS: u64 = 3_000 + 2_000;
+    const PROBE: &str = "3c0e7a21d94b3601";
+    let probe = r#"{"spec":"300","steps":[{"count":1,"cpu":1000,"memMb":512,"estimateMs":300}]}"#;
+    let _ = cell.call(1, "POST", PROBE, probe, 3_000);
+    let Some((_, end)) = cell.record.wait(&["end ", PROBE], 1, Duration::from_secs(10)) else {
+        return Outcome::NotRun("the first job did not end".to_owned());
+    };
+    let first = end.rsplit("on=").next().unwrap_or_default().to_owned();
+    sleep(1_000);
+    if trouble {
+        cell.signal(&first, "STOP");
+    }
+    let body = r#"{"spec":"12000","steps":[{"count":1,"cpu":1000,"memMb":512,"estimateMs":12000}]}"#;
+    // These ids prefer the same worker as the first job.
+    let jobs = ["3c0e7a21d94b3604", "3c0e7a21d94b3607", "3c0e7a21d94b360a"];
+    for job in jobs {
+        if !matches!(cell.call(1, "POST", job, body, 3_000), Some((200, _))) {
+            return Outcome::NotRun("a job was not accepted".to_owned());
+        }
+    }
+    let accepted = crate::unix_ms();
+    sleep(VISIBLE_MS + 100);
+    let mut worst: Option<(u64, usize, u64)> = None;
+    for round in 0..30 {
+        let asked = crate::unix_ms();
+        let answer = cell.call(1 + round % 2, "GET", "", "", 1_000);
+        let answered = crate::unix_ms();
+        // Jobs that had not begun when the answer was there, and so all the time before.
+        let begun = |job: &&&str| cell.record.find(&["start ", job]).iter().any(|s| s.0 <= answered);
+        let waiting = jobs.len() - jobs.iter().filter(begun).count();
+        if let Some((200, body)) = answer
+            && let Some(shown) = Json::parse(&body).get("pending").number()
+            && shown * 2 < waiting as u64
+            && asked > accepted + VISIBLE_MS
+        {
+            worst.get_or_insert((shown, waiting, asked - accepted));
+        }
+        sleep(100);
+    }
+    match worst {
+        Some((shown, waiting, ms)) => Outcome::Broken(format!(
+            "`pending` is {shown} while {waiting} jobs have not begun, {ms} ms after the last was accepted"
+        )),
+        None => Outcome::Held("`pending` was at least half of the jobs that had not begun".to_owned()),
+    }
+}
+
 /// A client hands a job in at an entry process that is frozen, gets no answer, and cancels the job at
 /// another one.
 fn late_submit(cell: &mut Cell, trouble: bool) -> Outcome {
--- a/review/stand-ins/src/cell.rs
+++ b/review/stand-ins/src/cell.rs
@@ -117,7 +117,10 @@
         for index in 0..workers {
             cell.launch(&worker_name(index));
         }
-        cell.put_config().then_some(cell)
+        let is_configured = cell.put_config(7, "r-plans");
+        // The workers send their next heartbeats, and the leader hears of all of them.
+        thread::sleep(Duration::from_secs(4));
+        is_configured.then_some(cell)
     }
 
     fn machines(&self) -> Vec<String> {
@@ -228,11 +231,11 @@
         }
     }
 
-    /// Sends the first configuration until it is acknowledged.
-    fn put_config(&mut self) -> bool {
+    /// Sends a configuration whose only route has this name, until it is acknowledged.
+    pub fn put_config(&self, version: u64, route: &str) -> bool {
         let body = format!(
             concat!(
-                r#"{{"version":7,"routes":[{{"name":"r-plans","host":"{}","pathPrefix":"{}","kind":"unsafe","#,
+                r#"{{"version":{},"routes":[{{"name":"{}","host":"{}","pathPrefix":"{}","kind":"unsafe","#,
                 r#""timeoutMs":3000,"targetDurationMs":3000,"priority":1,"service":"desk","maxAttempts":4,"#,
                 r#""stretch":4.0,"public":false}}],"services":[{{"name":"desk","healthPath":"/health","#,
                 r#""maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":false,"standby":false}}],"#,
@@ -240,7 +243,7 @@
                 r#""tenants":[{{"name":"team","apiKeys":["{}"],"priority":1,"weight":13,"#,
                 r#""cap":{{"cpu":0,"memMb":0,"gpu":0}}}}]}}"#
             ),
-            HOST, PREFIX, KEY
+            version, route, HOST, PREFIX, KEY
         );
         let call = Call { method: "POST", path: "/-/config/put", body: &body, ..Call::default() };
         let until = Instant::now() + Duration::from_secs(20);
@@ -248,14 +251,13 @@
         while Instant::now() < until {
             index = index % 3 + 1;
             if let Some((200, _)) = call.send(&self.control(index), Duration::from_secs(1)) {
-                self.record.add(&format!("operator: put version 7 -> 200 by core-{index}"));
-                // The workers send their next heartbeats, and the leader hears of all of them.
-                thread::sleep(Duration::from_secs(4));
+                let text = format!("operator: put version {version}, route {route} -> 200 by core-{index}");
+                self.record.add(&text);
                 return true;
             }
             thread::sleep(Duration::from_millis(200));
         }
-        self.record.add("operator: no acknowledgement of the first configuration");
+        self.record.add(&format!("operator: no acknowledgement of version {version}"));
         false
     }
 
