--- a/review/stand-ins/src/cases.rs
+++ b/review/stand-ins/src/cases.rs
@@ -15,10 +15,13 @@
         "crashes" => crashes,
         "route" => route,
         "pending" => pending,
+        "leave" => leave,
         "late-submit" => late_submit,
         _ => return Outcome::NotRun(format!("there is no case {name}")),
     };
-    let Some(mut cell) = Cell::start(8) else {
+    // One frozen entry process of nine is the site's share of `node_freeze`.
+    let fronts = if name == "late-submit" { 9 } else { 2 };
+    let Some(mut cell) = Cell::start(fronts, 8) else {
         return Outcome::NotRun("the cell did not start".to_owned());
     };
     let outcome = case(&mut cell, trouble);
@@ -184,37 +187,76 @@
     }
 }
 
-/// A client hands a job in at an entry process that is frozen, gets no answer, and cancels the job at
-/// another one.
+/// The worker that runs a job leaves as planned. The acknowledgement of its deregistration is lost, so
+/// that it ends some seconds later.
+fn leave(cell: &mut Cell, trouble: bool) -> Outcome {
+    const JOB: &str = "4d0e7a21d94b36c1";
+    const LIMIT: Duration = Duration::from_secs(20);
+    let body = r#"{"spec":"15000","steps":[{"count":1,"cpu":1000,"memMb":512,"estimateMs":15000}]}"#;
+    if !matches!(cell.call(1, "POST", JOB, body, 3_000), Some((200, _))) {
+        return Outcome::NotRun("the job was not accepted".to_owned());
+    }
+    let Some((_, start)) = cell.record.wait(&["start ", JOB], 1, LIMIT) else {
+        return Outcome::NotRun("the job did not start".to_owned());
+    };
+    let first = start.rsplit("on=").next().unwrap_or_default().to_owned();
+    sleep(1_000);
+    cell.leave(&first);
+    if cell.record.wait(&["drain acknowledged"], 1, LIMIT).is_none() {
+        return Outcome::NotRun("the drain was not acknowledged".to_owned());
+    }
+    cell.drop_answers.store(trouble, std::sync::atomic::Ordering::Relaxed);
+    let ended = cell.record.wait(&["end ", JOB, "run=1 "], 1, LIMIT);
+    let second = cell.record.wait(&["start ", JOB, "run=2 "], 1, LIMIT);
+    sleep(500);
+    let (Some((ended, _)), Some((second, _))) = (ended, second) else {
+        return Outcome::Held("the task had one run".to_owned());
+    };
+    let text = format!("run 2 began {} ms before run 1 ended", ended as i64 - second as i64);
+    match second < ended {
+        true => Outcome::Broken(text),
+        false => Outcome::Held(text),
+    }
+}
+
+/// A client hands a job in at an entry process that is frozen, gives up, and cancels the job at another
+/// one, which acknowledges that.
 fn late_submit(cell: &mut Cell, trouble: bool) -> Outcome {
     const JOB: &str = "1f0e7a21d94b36a2";
+    /// `cancel_ms`.
     const CANCEL_MS: u64 = 3_000;
+    /// How long the client waits for the answer to its POST, and the entry process is frozen.
+    const PATIENCE_MS: u64 = 200;
+    const FREEZE_MS: u64 = 3_500;
     let body = r#"{"spec":"1000","steps":[{"count":1,"cpu":1000,"memMb":512,"estimateMs":1000}]}"#;
+    let frozen_at = crate::unix_ms();
     if trouble {
         cell.signal("front-1", "STOP");
     }
-    let posted = cell.call(1, "POST", JOB, body, 700);
+    // The client's host is slow or gone as well: nothing closes the connection.
+    let Some(_connection) = cell.send_only(1, "POST", JOB, body) else {
+        return Outcome::NotRun("no connection to the entry process".to_owned());
+    };
+    sleep(PATIENCE_MS);
     let cancelled = cell.call(2, "DELETE", JOB, "", 3_000);
     let acked = crate::unix_ms();
     match cancelled {
         Some((status, _)) if (200..300).contains(&status) || status == 410 => {}
         _ => return Outcome::NotRun("the cancelling was not acknowledged".to_owned()),
     }
+    sleep((frozen_at + FREEZE_MS).saturating_sub(crate::unix_ms()));
     if trouble {
-        sleep(4_000 - 700);
         cell.signal("front-1", "CONT");
     }
-    sleep(6_000);
+    sleep(4_000);
     let _ = state_of(cell, JOB);
-    let late = |at: &u64| *at > acked + CANCEL_MS;
     let starts = cell.record.find(&["start ", JOB]);
     let text = format!(
-        "POST answered {:?}, DELETE {:?}; starts after the acknowledgement of the cancelling: {:?} ms",
-        posted.map(|p| p.0),
+        "DELETE answered {:?}; starts after its answer: {:?} ms",
         cancelled.map(|c| c.0),
-        starts.iter().map(|s| s.0.saturating_sub(acked)).collect::<Vec<_>>()
+        starts.iter().map(|s| s.0 as i64 - acked as i64).collect::<Vec<_>>()
     );
-    match starts.iter().any(|(at, _)| late(at)) {
+    match starts.iter().any(|(at, _)| *at > acked + CANCEL_MS) {
         true => Outcome::Broken(text),
         false => Outcome::Held(text),
     }
--- a/review/stand-ins/src/cell.rs
+++ b/review/stand-ins/src/cell.rs
@@ -6,6 +6,7 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Write;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -17,6 +18,8 @@
 use std::time::Instant;
 
 use crate::http::Call;
+use crate::proxy;
+use crate::proxy::DropAnswers;
 use crate::unix_ms;
 
 pub const KEY: &str = "key-of-the-team-0001";
@@ -89,31 +92,39 @@
 /// The processes of a run. All of them end with it.
 pub struct Cell {
     pub record: Record,
+    /// Whether the answers of the members to deregistrations, and to first heartbeats, are lost.
+    pub drop_answers: DropAnswers,
     dir: PathBuf,
     net: String,
     program: PathBuf,
     processes: BTreeMap<String, Child>,
+    fronts: usize,
     started: Vec<String>,
 }
 
 impl Cell {
-    /// Starts three members, two entry processes and `workers` workers, and puts a configuration.
-    pub fn start(workers: usize) -> Option<Self> {
+    /// Starts three members, `fronts` entry processes and `workers` workers, and puts a configuration.
+    pub fn start(fronts: usize, workers: usize) -> Option<Self> {
         let pid = std::process::id();
         let dir = std::env::temp_dir().join(format!("review-case-{pid}"));
         fs::create_dir_all(&dir).ok()?;
         let program = std::env::var("PROGRAM").ok()?;
         let mut cell = Self {
             record: Record::new(),
+            drop_answers: DropAnswers::default(),
             dir,
             net: format!("127.{}.{}", 30 + pid % 200, (pid / 200) % 250),
             program: fs::canonicalize(program).ok()?,
             processes: BTreeMap::new(),
+            fronts,
             started: Vec::new(),
         };
         for name in cell.machines() {
             cell.launch(&name);
         }
+        for index in 1..=3 {
+            proxy::start(&cell.proxy(index), cell.control(index), &cell.drop_answers).ok()?;
+        }
         for index in 0..workers {
             cell.launch(&worker_name(index));
         }
@@ -125,7 +136,7 @@
 
     fn machines(&self) -> Vec<String> {
         let members = (1..=3).map(|i| format!("core-{i}"));
-        members.chain((1..=2).map(|i| format!("front-{i}"))).collect()
+        members.chain((1..=self.fronts).map(|i| format!("front-{i}"))).collect()
     }
 
     fn ip(&self, name: &str) -> String {
@@ -143,6 +154,11 @@
         format!("{}:{CONTROL_PORT}", self.ip(&format!("core-{index}")))
     }
 
+    /// Address of a proxy in front of a member, which is the one that workers are told.
+    fn proxy(&self, index: usize) -> String {
+        format!("{}.{}:{CONTROL_PORT}", self.net, 20 + index)
+    }
+
     pub fn front(&self, index: usize) -> String {
         format!("{}:{FRONTEND_PORT}", self.ip(&format!("front-{index}")))
     }
@@ -188,8 +204,8 @@
             command = Command::new(std::env::current_exe().expect("the program has a path"));
             command.args(["worker", name, &format!("{}:{WORKER_PORT}", self.ip(name))]);
             command.args([ZONES[index % 3], &format!("r{}", index % 3)]);
-            command.args((1..=3).map(|i| self.control(i)));
-            command.stdout(Stdio::piped());
+            command.args((1..=3).map(|i| self.proxy(i)));
+            command.stdout(Stdio::piped()).stdin(Stdio::piped());
         } else {
             let path = self.dir.join(format!("{name}.json"));
             fs::write(&path, self.settings(name)).expect("write the settings");
@@ -231,6 +247,14 @@
         }
     }
 
+    /// Tells a worker to leave as planned.
+    pub fn leave(&mut self, name: &str) {
+        self.record.add(&format!("platform: {name} is to leave"));
+        if let Some(input) = self.processes.get_mut(name).and_then(|c| c.stdin.as_mut()) {
+            let _ = writeln!(input, "leave");
+        }
+    }
+
     /// Sends a configuration whose only route has this name, until it is acknowledged.
     pub fn put_config(&self, version: u64, route: &str) -> bool {
         let body = format!(
@@ -276,6 +300,14 @@
         answer
     }
 
+    /// Sends a client's request and returns the connection, which stays open.
+    pub fn send_only(&self, front: usize, method: &str, id: &str, body: &str) -> Option<TcpStream> {
+        let path = format!("{PREFIX}{id}");
+        let call = Call { method, host: HOST, path: &path, key: Some(KEY), body };
+        self.record.add(&format!("client: {method} {path} at front-{front}, sent"));
+        call.write(&self.front(front), Duration::from_millis(3_000))
+    }
+
     /// Ends all processes and removes the folder of the run, or keeps it if `KEEP` is set.
     pub fn end(mut self) {
         let names: Vec<String> = self.processes.keys().cloned().collect();
--- a/review/stand-ins/src/http.rs
+++ b/review/stand-ins/src/http.rs
@@ -57,6 +57,14 @@
 impl Call<'_> {
     /// Sends the request and returns the status and the body; `None` without an answer in `limit`.
     pub fn send(&self, addr: &str, limit: Duration) -> Option<(u16, String)> {
+        let stream = self.write(addr, limit)?;
+        let answer = Message::read(&mut BufReader::new(stream)).ok()??;
+        let status = answer.first.split(' ').nth(1)?.parse().ok()?;
+        Some((status, answer.body))
+    }
+
+    /// Sends the request and returns the open connection.
+    pub fn write(&self, addr: &str, limit: Duration) -> Option<TcpStream> {
         let addr: SocketAddr = addr.parse().ok()?;
         let mut stream = TcpStream::connect_timeout(&addr, limit).ok()?;
         stream.set_read_timeout(Some(limit)).ok()?;
@@ -70,9 +78,7 @@
         text += "Content-Type: application/json\r\nConnection: close\r\n";
         text += &format!("Content-Length: {}\r\n\r\n{}", self.body.len(), self.body);
         stream.write_all(text.as_bytes()).ok()?;
-        let answer = Message::read(&mut BufReader::new(stream)).ok()??;
-        let status = answer.first.split(' ').nth(1)?.parse().ok()?;
-        Some((status, answer.body))
+        Some(stream)
     }
 }
 
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -9,6 +9,7 @@
 mod cell;
 mod http;
 mod json;
+mod proxy;
 mod worker;
 
 /// The time of day in milliseconds since 1970.
--- a/review/stand-ins/src/worker.rs
+++ b/review/stand-ins/src/worker.rs
@@ -23,6 +23,10 @@
 /// `holdMaxMs` of the settings.
 const HOLD_MAX_MS: u64 = 10_000;
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
+/// `drainMs` of the settings.
+const DRAIN_MS: u64 = 2_000;
+/// How long a worker that leaves waits for the acknowledgement.
+const LEAVE_WAIT: Duration = Duration::from_secs(3);
 const TICK: Duration = Duration::from_millis(10);
 /// Most ends in one answer.
 const MAX_ENDS: usize = 500;
@@ -53,6 +57,9 @@
     last_end: u64,
     noted: u64,
     last_run: BTreeMap<String, u64>,
+    draining: bool,
+    /// Whether a heartbeat that reports the drain was acknowledged.
+    drain_acked: bool,
 }
 
 fn say(text: &str) {
@@ -227,17 +234,18 @@
     let mut known: Option<String> = None;
     loop {
         sequence += 1;
-        let (id, born, clock_ms) = {
+        let (id, born, clock_ms, draining) = {
             let state = lock(state);
-            (state.id.clone(), state.born, state.clock_ms())
+            (state.id.clone(), state.born, state.clock_ms(), state.draining)
         };
+        let condition = if draining { "draining" } else { "ready" };
         let body = format!(
             concat!(
-                r#"{{"service":"desk","address":"{}","zone":"{}","version":"v1","slots":8,"state":"ready","#,
+                r#"{{"service":"desk","address":"{}","zone":"{}","version":"v1","slots":8,"state":"{}","#,
                 r#""coldRemainingMs":0,"capacity":{{"cpu":4000,"memMb":8192,"gpu":0}},"labels":["a","{}"],"#,
                 r#""clockMs":{},"sequence":{},"born":{}}}"#
             ),
-            addr, zone, rack, clock_ms, sequence, born
+            addr, zone, condition, rack, clock_ms, sequence, born
         );
         let path = format!("/-/instances/{id}/heartbeat");
         let to = known.clone().unwrap_or_else(|| control[next % control.len()].clone());
@@ -247,6 +255,7 @@
                 if let Some(addr) = Json::parse(&body).get("heartbeatAddr").text() {
                     known = Some(addr.to_owned());
                 }
+                lock(state).drain_acked |= draining;
                 thread::sleep(HEARTBEAT_INTERVAL);
             }
             _ => {
@@ -258,7 +267,37 @@
     }
 }
 
-/// Runs a worker until a signal ends it. Arguments: id, address, zone, rack, control addresses.
+/// Leaves as planned: reports the drain, serves on, deregisters, and ends. Without an acknowledgement it
+/// ends some seconds later.
+fn leave(state: &Mutex<State>, control: &[String]) {
+    lock(state).draining = true;
+    while !lock(state).drain_acked {
+        thread::sleep(TICK);
+    }
+    say("drain acknowledged");
+    thread::sleep(Duration::from_millis(DRAIN_MS + 500));
+    let (path, body) = {
+        let state = lock(state);
+        (format!("/-/instances/{}/deregister", state.id), format!(r#"{{"born":{}}}"#, state.born))
+    };
+    let until = Instant::now() + LEAVE_WAIT;
+    for addr in control.iter().cycle() {
+        say(&format!("deregister at {addr}"));
+        let call = Call { method: "POST", path: &path, body: &body, ..Call::default() };
+        let answer = call.send(addr, Duration::from_millis(1_000));
+        say(&format!("deregister answered {:?}", answer.as_ref().map(|a| a.0)));
+        if answer.is_some_and(|(status, _)| (200..300).contains(&status)) || Instant::now() >= until {
+            break;
+        }
+    }
+    let state = lock(state);
+    for (task, run) in &state.running {
+        say(&format!("end {task} run={} how=left on={}", run.number, state.id));
+    }
+    std::process::exit(0);
+}
+
+/// Runs a worker until a signal ends it, or the line `leave` on its input makes it leave. Arguments: id, address, zone, rack, control addresses.
 pub fn run(args: &[String]) {
     let [id, addr, zone, rack, control @ ..] = args else {
         panic!("worker ID ADDRESS ZONE RACK CONTROL...");
@@ -275,6 +314,8 @@
         last_end: 0,
         noted: 0,
         last_run: BTreeMap::new(),
+        draining: false,
+        drain_acked: false,
     }));
     say(&format!("up {id}"));
     let ticked = Arc::clone(&state);
@@ -291,5 +332,15 @@
             thread::spawn(move || serve(&state, stream));
         }
     });
+    let (leaving, addrs) = (Arc::clone(&state), control.to_vec());
+    thread::spawn(move || {
+        let mut line = String::new();
+        while std::io::stdin().read_line(&mut line).is_ok_and(|n| n > 0) {
+            if line.trim() == "leave" {
+                leave(&leaving, &addrs);
+            }
+            line.clear();
+        }
+    });
     heartbeats(&state, addr, zone, rack, control);
 }
