--- a/review/stand-ins/src/cases.rs
+++ b/review/stand-ins/src/cases.rs
@@ -100,7 +100,9 @@
     }
     let failed_ends = cell.record.find(&["end ", JOB, "how=failed"]).len();
     let starts = cell.record.find(&["start ", JOB]).len();
-    let text = format!("the job is shown as {state:?} after {starts} starts and {failed_ends} ends `failed`");
+    let text = format!(
+        "the job is shown as {state:?} after {starts} starts and {failed_ends} ends `failed`"
+    );
     match state.as_deref() {
         Some("failed") if failed_ends < MAX_ATTEMPTS => Outcome::Broken(text),
         _ => Outcome::Held(text),
@@ -131,7 +133,9 @@
     let state = state_of(cell, JOB);
     let ended = cell.record.find(&["end ", JOB, "how=done"]).len();
     let starts = cell.record.find(&["start ", JOB]).len();
-    let text = format!("the job is shown as {state:?} after {starts} starts and {ended} ends `done` of 4 tasks");
+    let text = format!(
+        "the job is shown as {state:?} after {starts} starts and {ended} ends `done` of 4 tasks"
+    );
     // What nothing runs for, with all workers idle, is lost.
     match state.as_deref() {
         Some("completed") => Outcome::Held(text),
@@ -148,7 +152,10 @@
     const PROBE: &str = "3c0e7a21d94b3601";
     let probe = r#"{"spec":"300","steps":[{"count":1,"cpu":1000,"memMb":512,"estimateMs":300}]}"#;
     let _ = cell.call(1, "POST", PROBE, probe, 3_000);
-    let Some((_, end)) = cell.record.wait(&["end ", PROBE], 1, Duration::from_secs(10)) else {
+    let Some((_, end)) = cell
+        .record
+        .wait(&["end ", PROBE], 1, Duration::from_secs(10))
+    else {
         return Outcome::NotRun("the first job did not end".to_owned());
     };
     let first = end.rsplit("on=").next().unwrap_or_default().to_owned();
@@ -156,7 +163,8 @@
     if trouble {
         cell.signal(&first, "STOP");
     }
-    let body = r#"{"spec":"12000","steps":[{"count":1,"cpu":1000,"memMb":512,"estimateMs":12000}]}"#;
+    let body =
+        r#"{"spec":"12000","steps":[{"count":1,"cpu":1000,"memMb":512,"estimateMs":12000}]}"#;
     // These ids prefer the same worker as the first job.
     let jobs = ["3c0e7a21d94b3604", "3c0e7a21d94b3607", "3c0e7a21d94b360a"];
     for job in jobs {
@@ -172,7 +180,12 @@
         let answer = cell.call(1 + round % 2, "GET", "", "", 1_000);
         let answered = crate::unix_ms();
         // Jobs that had not begun when the answer was there, and so all the time before.
-        let begun = |job: &&&str| cell.record.find(&["start ", job]).iter().any(|s| s.0 <= answered);
+        let begun = |job: &&&str| {
+            cell.record
+                .find(&["start ", job])
+                .iter()
+                .any(|s| s.0 <= answered)
+        };
         let waiting = jobs.len() - jobs.iter().filter(begun).count();
         if let Some((200, body)) = answer
             && let Some(shown) = Json::parse(&body).get("pending").number()
@@ -187,7 +200,9 @@
         Some((shown, waiting, ms)) => Outcome::Broken(format!(
             "`pending` is {shown} while {waiting} jobs have not begun, {ms} ms after the last was accepted"
         )),
-        None => Outcome::Held("`pending` was at least half of the jobs that had not begun".to_owned()),
+        None => {
+            Outcome::Held("`pending` was at least half of the jobs that had not begun".to_owned())
+        }
     }
 }
 
@@ -196,7 +211,8 @@
 fn leave(cell: &mut Cell, trouble: bool) -> Outcome {
     const JOB: &str = "4d0e7a21d94b36c1";
     const LIMIT: Duration = Duration::from_secs(20);
-    let body = r#"{"spec":"15000","steps":[{"count":1,"cpu":1000,"memMb":512,"estimateMs":15000}]}"#;
+    let body =
+        r#"{"spec":"15000","steps":[{"count":1,"cpu":1000,"memMb":512,"estimateMs":15000}]}"#;
     if !matches!(cell.call(1, "POST", JOB, body, 3_000), Some((200, _))) {
         return Outcome::NotRun("the job was not accepted".to_owned());
     }
@@ -206,17 +222,25 @@
     let first = start.rsplit("on=").next().unwrap_or_default().to_owned();
     sleep(1_000);
     cell.leave(&first);
-    if cell.record.wait(&["drain acknowledged"], 1, LIMIT).is_none() {
+    if cell
+        .record
+        .wait(&["drain acknowledged"], 1, LIMIT)
+        .is_none()
+    {
         return Outcome::NotRun("the drain was not acknowledged".to_owned());
     }
-    cell.drop_answers.store(trouble, std::sync::atomic::Ordering::Relaxed);
+    cell.drop_answers
+        .store(trouble, std::sync::atomic::Ordering::Relaxed);
     let ended = cell.record.wait(&["end ", JOB, "run=1 "], 1, LIMIT);
     let second = cell.record.wait(&["start ", JOB, "run=2 "], 1, LIMIT);
     sleep(500);
     let (Some((ended, _)), Some((second, _))) = (ended, second) else {
         return Outcome::Held("the task had one run".to_owned());
     };
-    let text = format!("run 2 began {} ms before run 1 ended", ended as i64 - second as i64);
+    let text = format!(
+        "run 2 began {} ms before run 1 ended",
+        ended as i64 - second as i64
+    );
     match second < ended {
         true => Outcome::Broken(text),
         false => Outcome::Held(text),
@@ -228,7 +252,8 @@
 fn odd_heartbeat(cell: &mut Cell, trouble: bool) -> Outcome {
     const JOB: &str = "6e0e7a21d94b36d2";
     const LIMIT: Duration = Duration::from_secs(20);
-    let body = r#"{"spec":"10000","steps":[{"count":1,"cpu":1000,"memMb":512,"estimateMs":10000}]}"#;
+    let body =
+        r#"{"spec":"10000","steps":[{"count":1,"cpu":1000,"memMb":512,"estimateMs":10000}]}"#;
     if !matches!(cell.call(1, "POST", JOB, body, 3_000), Some((200, _))) {
         return Outcome::NotRun("the job was not accepted".to_owned());
     }
@@ -247,19 +272,35 @@
             crate::unix_ms()
         );
         let path = "/-/instances/i-ledger/heartbeat";
-        let call = Call { method: "POST", path, body: &heartbeat, ..Call::default() };
+        let call = Call {
+            method: "POST",
+            path,
+            body: &heartbeat,
+            ..Call::default()
+        };
         let answer = call.send(&cell.control(1), Duration::from_secs(1));
         let status = answer.map(|a| a.0);
-        cell.record.add(&format!("other writer: POST {path} {heartbeat} -> {status:?}"));
+        cell.record.add(&format!(
+            "other writer: POST {path} {heartbeat} -> {status:?}"
+        ));
     }
     let ended = cell.record.wait(&["end ", JOB, "run=1 "], 1, LIMIT);
     sleep(500);
-    let second = cell.record.find(&["start ", JOB, "run=2 "]).first().cloned();
+    let second = cell
+        .record
+        .find(&["start ", JOB, "run=2 "])
+        .first()
+        .cloned();
     let state = state_of(cell, JOB);
     let (Some((ended, how)), Some((second, _))) = (ended, second) else {
-        return Outcome::Held(format!("the task had one run; the job is shown as {state:?}"));
+        return Outcome::Held(format!(
+            "the task had one run; the job is shown as {state:?}"
+        ));
     };
-    let text = format!("run 2 began {} ms before run 1 ended ({how})", ended as i64 - second as i64);
+    let text = format!(
+        "run 2 began {} ms before run 1 ended ({how})",
+        ended as i64 - second as i64
+    );
     match second < ended {
         true => Outcome::Broken(text),
         false => Outcome::Held(text),
@@ -278,7 +319,11 @@
     // The late order is one of more than twenty.
     let probe = r#"{"spec":"200","steps":[{"count":20,"cpu":1000,"memMb":512,"estimateMs":200}]}"#;
     let _ = cell.call(1, "POST", "7a0e7a21d94b36e3", probe, 3_000);
-    if cell.record.wait(&["end 7a0e7a21d94b36e3", "how=done"], 20, LIMIT).is_none() {
+    if cell
+        .record
+        .wait(&["end 7a0e7a21d94b36e3", "how=done"], 20, LIMIT)
+        .is_none()
+    {
         return Outcome::NotRun("the first job did not end".to_owned());
     }
     sleep(1_500);
@@ -299,7 +344,10 @@
         let Some((order, addr)) = order else {
             return Outcome::NotRun("no order was held back".to_owned());
         };
-        cell.record.add(&format!("network: held back since the POST: {} for {addr}", order.body));
+        cell.record.add(&format!(
+            "network: held back since the POST: {} for {addr}",
+            order.body
+        ));
         sleep(100);
         cell.kill(&worker);
         // While the worker is down, another job makes another worker the fullest.
@@ -310,20 +358,37 @@
         let up = format!("up {worker}");
         let _ = cell.record.wait(&[&up], 2, LIMIT);
         let answer = proxy::deliver(&order, &addr);
-        cell.record.add(&format!("network: the order held back arrives at {addr} -> {answer:?}"));
+        cell.record.add(&format!(
+            "network: the order held back arrives at {addr} -> {answer:?}"
+        ));
     }
     sleep(14_000);
     let _ = state_of(cell, JOB);
     let mut overlap = None;
     for (began, text) in cell.record.find(&["start ", JOB]) {
-        let run = text.split("run=").nth(1).and_then(|r| r.split(' ').next()).unwrap_or_default();
+        let run = text
+            .split("run=")
+            .nth(1)
+            .and_then(|r| r.split(' ').next())
+            .unwrap_or_default();
         let number = format!("run={run} ");
-        let end = cell.record.find(&["end ", JOB, &number]).first().map_or(u64::MAX, |e| e.0);
+        let end = cell
+            .record
+            .find(&["end ", JOB, &number])
+            .first()
+            .map_or(u64::MAX, |e| e.0);
         let between = |at: &u64| *at > began && *at < end;
-        let other = cell.record.find(&["start ", JOB]).into_iter().find(|o| between(&o.0));
+        let other = cell
+            .record
+            .find(&["start ", JOB])
+            .into_iter()
+            .find(|o| between(&o.0));
         // A run that ended with its worker has no end.
         if let Some((at, other)) = other.filter(|_| end < u64::MAX) {
-            overlap = Some(format!("`{other}` {} ms before the end of run {run}", end - at));
+            overlap = Some(format!(
+                "`{other}` {} ms before the end of run {run}",
+                end - at
+            ));
         }
     }
     match overlap {
@@ -367,7 +432,10 @@
     let text = format!(
         "DELETE answered {:?}; starts after its answer: {:?} ms",
         cancelled.map(|c| c.0),
-        starts.iter().map(|s| s.0 as i64 - acked as i64).collect::<Vec<_>>()
+        starts
+            .iter()
+            .map(|s| s.0 as i64 - acked as i64)
+            .collect::<Vec<_>>()
     );
     match starts.iter().any(|(at, _)| *at > acked + CANCEL_MS) {
         true => Outcome::Broken(text),
--- a/review/stand-ins/src/cell.rs
+++ b/review/stand-ins/src/cell.rs
@@ -50,7 +50,10 @@
 
 impl Record {
     pub fn new() -> Self {
-        Self { lines: Arc::default(), began: unix_ms() }
+        Self {
+            lines: Arc::default(),
+            began: unix_ms(),
+        }
     }
 
     pub fn add(&self, text: &str) {
@@ -59,7 +62,10 @@
 
     fn add_at(&self, at: u64, text: &str) {
         println!("{:>7} ms  {text}", at.saturating_sub(self.began));
-        self.lines.lock().expect("not poisoned").push((at, text.to_owned()));
+        self.lines
+            .lock()
+            .expect("not poisoned")
+            .push((at, text.to_owned()));
     }
 
     /// Events that contain all of `words`, with their times.
@@ -152,7 +158,9 @@
 
     fn machines(&self) -> Vec<String> {
         let members = (1..=3).map(|i| format!("core-{i}"));
-        members.chain((1..=self.fronts).map(|i| format!("front-{i}"))).collect()
+        members
+            .chain((1..=self.fronts).map(|i| format!("front-{i}")))
+            .collect()
     }
 
     fn ip(&self, name: &str) -> String {
@@ -177,7 +185,11 @@
 
     /// Address at which a worker listens.
     fn worker_bind(&self, name: &str) -> String {
-        let port = if self.has_order_proxies { HIDDEN_PORT } else { WORKER_PORT };
+        let port = if self.has_order_proxies {
+            HIDDEN_PORT
+        } else {
+            WORKER_PORT
+        };
         format!("{}:{port}", self.ip(name))
     }
 
@@ -192,8 +204,14 @@
 
     fn settings(&self, name: &str) -> String {
         let ip = self.ip(name);
-        let seeds: Vec<String> = (1..=3).map(|i| format!("\"{}\"", self.control(i))).collect();
-        let number: usize = name.split('-').nth(1).and_then(|n| n.parse().ok()).unwrap_or(1);
+        let seeds: Vec<String> = (1..=3)
+            .map(|i| format!("\"{}\"", self.control(i)))
+            .collect();
+        let number: usize = name
+            .split('-')
+            .nth(1)
+            .and_then(|n| n.parse().ok())
+            .unwrap_or(1);
         let is_core = name.starts_with("core");
         let data = match is_core {
             true => format!("\"{}\"", self.dir.join(name).display()),
@@ -227,9 +245,18 @@
     pub fn launch(&mut self, name: &str) {
         let mut command;
         if name.starts_with("worker") {
-            let index: usize = name.split('-').nth(1).and_then(|n| n.parse().ok()).unwrap_or(0);
+            let index: usize = name
+                .split('-')
+                .nth(1)
+                .and_then(|n| n.parse().ok())
+                .unwrap_or(0);
             command = Command::new(std::env::current_exe().expect("the program has a path"));
-            command.args(["worker", name, &self.worker_bind(name), &self.worker_addr(name)]);
+            command.args([
+                "worker",
+                name,
+                &self.worker_bind(name),
+                &self.worker_addr(name),
+            ]);
             command.env("FIRST_HEARTBEAT_MS", self.first_heartbeat_ms.to_string());
             command.args([ZONES[index % 3], &format!("r{}", index % 3)]);
             command.args((1..=3).map(|i| self.proxy(i)));
@@ -238,10 +265,16 @@
             let path = self.dir.join(format!("{name}.json"));
             fs::write(&path, self.settings(name)).expect("write the settings");
             let log = self.dir.join(format!("{name}.log"));
-            let log = File::options().create(true).append(true).open(log).expect("open the log");
+            let log = File::options()
+                .create(true)
+                .append(true)
+                .open(log)
+                .expect("open the log");
             command = Command::new(&self.program);
             command.env("ZINNIAVALVE_SETTINGS", path);
-            command.stdout(log.try_clone().expect("open the log")).stderr(log);
+            command
+                .stdout(log.try_clone().expect("open the log"))
+                .stderr(log);
         }
         let mut child = command.spawn().expect("start the process");
         if let Some(out) = child.stdout.take() {
@@ -271,7 +304,9 @@
     pub fn signal(&self, name: &str, signal: &str) {
         if let Some(child) = self.processes.get(name) {
             self.record.add(&format!("SIG{signal} {name}"));
-            let _ = Command::new("kill").args([&format!("-{signal}"), &child.id().to_string()]).status();
+            let _ = Command::new("kill")
+                .args([&format!("-{signal}"), &child.id().to_string()])
+                .status();
         }
     }
 
@@ -293,30 +328,53 @@
                 r#""maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":false,"standby":false}}],"#,
                 r#""limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"#,
                 r#""tenants":[{{"name":"team","apiKeys":["{}"],"priority":1,"weight":13,"#,
-                r#""cap":{{"cpu":0,"memMb":0,"gpu":0}}}}]}}"#
+                r#""cap":{{"cpu":64000,"memMb":131072,"gpu":0}}}}]}}"#
             ),
             version, route, HOST, PREFIX, KEY
         );
-        let call = Call { method: "POST", path: "/-/config/put", body: &body, ..Call::default() };
+        let call = Call {
+            method: "POST",
+            path: "/-/config/put",
+            body: &body,
+            ..Call::default()
+        };
         let until = Instant::now() + Duration::from_secs(20);
         let mut index = 0;
         while Instant::now() < until {
             index = index % 3 + 1;
             if let Some((200, _)) = call.send(&self.control(index), Duration::from_secs(1)) {
-                let text = format!("operator: put version {version}, route {route} -> 200 by core-{index}");
+                let text = format!(
+                    "operator: put version {version}, route {route} -> 200 by core-{index}"
+                );
                 self.record.add(&text);
                 return true;
             }
             thread::sleep(Duration::from_millis(200));
         }
-        self.record.add(&format!("operator: no acknowledgement of version {version}"));
+        self.record.add(&format!(
+            "operator: no acknowledgement of version {version}"
+        ));
         false
     }
 
     /// Sends a client's request through an entry process and records both.
-    pub fn call(&self, front: usize, method: &str, id: &str, body: &str, limit_ms: u64) -> Option<(u16, String)> {
+    pub fn call(
+        &self,
+        front: usize,
+        method: &str,
+        id: &str,
+        body: &str,
+        limit_ms: u64,
+    ) -> Option<(u16, String)> {
         let path = format!("{PREFIX}{id}");
-        let call = Call { method, host: HOST, path: &path, key: Some(KEY), body, ..Call::default() };
+        let call = Call {
+            method,
+            host: HOST,
+            path: &path,
+            key: Some(KEY),
+            body,
+            ..Call::default()
+        };
         let at = unix_ms();
         let answer = call.send(&self.front(front), Duration::from_millis(limit_ms));
         let text = match &answer {
@@ -324,15 +382,25 @@
             None => "no answer".to_owned(),
         };
         let ms = unix_ms() - at;
-        self.record.add(&format!("client: {method} {path} at front-{front} -> {text} ({ms} ms)"));
+        self.record.add(&format!(
+            "client: {method} {path} at front-{front} -> {text} ({ms} ms)"
+        ));
         answer
     }
 
     /// Sends a client's request and returns the connection, which stays open.
     pub fn send_only(&self, front: usize, method: &str, id: &str, body: &str) -> Option<TcpStream> {
         let path = format!("{PREFIX}{id}");
-        let call = Call { method, host: HOST, path: &path, key: Some(KEY), body, ..Call::default() };
-        self.record.add(&format!("client: {method} {path} at front-{front}, sent"));
+        let call = Call {
+            method,
+            host: HOST,
+            path: &path,
+            key: Some(KEY),
+            body,
+            ..Call::default()
+        };
+        self.record
+            .add(&format!("client: {method} {path} at front-{front}, sent"));
         call.write(&self.front(front), Duration::from_millis(3_000))
     }
 
@@ -351,7 +419,6 @@
             let _ = fs::remove_dir_all(&self.dir);
         }
     }
-
 }
 
 impl Drop for Cell {
--- a/review/stand-ins/src/http.rs
+++ b/review/stand-ins/src/http.rs
@@ -31,8 +31,15 @@
             };
             headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
         }
-        let mut message = Self { first: first.trim_end().to_owned(), headers, body: String::new() };
-        let length = message.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+        let mut message = Self {
+            first: first.trim_end().to_owned(),
+            headers,
+            body: String::new(),
+        };
+        let length = message
+            .header("content-length")
+            .and_then(|l| l.parse().ok())
+            .unwrap_or(0);
         let mut body = vec![0; length];
         reader.read_exact(&mut body)?;
         message.body = String::from_utf8_lossy(&body).into_owned();
@@ -40,7 +47,10 @@
     }
 
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+        self.headers
+            .iter()
+            .find(|(n, _)| n == name)
+            .map(|(_, v)| v.as_str())
     }
 }
 
@@ -71,7 +81,11 @@
         let mut stream = TcpStream::connect_timeout(&addr, limit).ok()?;
         stream.set_read_timeout(Some(limit)).ok()?;
         stream.set_nodelay(true).ok()?;
-        let host = if self.host.is_empty() { "control" } else { self.host };
+        let host = if self.host.is_empty() {
+            "control"
+        } else {
+            self.host
+        };
         let mut text = format!("{} {} HTTP/1.1\r\nHost: {host}\r\n", self.method, self.path);
         text += &format!("X-Zinniavalve-Deadline-Ms: {}\r\n", limit.as_millis());
         if let Some(key) = self.key {
--- a/review/stand-ins/src/json.rs
+++ b/review/stand-ins/src/json.rs
@@ -15,7 +15,10 @@
 impl Json {
     /// Parses a text; `Null` if it is malformed.
     pub fn parse(text: &str) -> Self {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         reader.value().unwrap_or_default()
     }
 
@@ -23,7 +26,10 @@
     pub fn get(&self, name: &str) -> &Json {
         static NULL: Json = Json::Null;
         match self {
-            Self::Object(fields) => fields.iter().find(|(n, _)| n == name).map_or(&NULL, |f| &f.1),
+            Self::Object(fields) => fields
+                .iter()
+                .find(|(n, _)| n == name)
+                .map_or(&NULL, |f| &f.1),
             _ => &NULL,
         }
     }
@@ -97,7 +103,11 @@
             b'n' => self.word("null", Json::Null),
             _ => {
                 let start = self.at;
-                while self.bytes.get(self.at).is_some_and(|b| b"+-.eE0123456789".contains(b)) {
+                while self
+                    .bytes
+                    .get(self.at)
+                    .is_some_and(|b| b"+-.eE0123456789".contains(b))
+                {
                     self.at += 1;
                 }
                 let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
@@ -124,7 +134,8 @@
                         b'u' => {
                             let hex = self.bytes.get(self.at..self.at + 4)?;
                             self.at += 4;
-                            let code = u32::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok()?;
+                            let code =
+                                u32::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok()?;
                             let mut buffer = [0; 4];
                             let c = char::from_u32(code)?;
                             out.extend_from_slice(c.encode_utf8(&mut buffer).as_bytes());
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -43,7 +43,11 @@
         Outcome::NotRun(why) => (2, format!("not run: {why}")),
     };
     println!("{text}");
-    if let Ok(mut file) = std::fs::File::options().create(true).append(true).open(record) {
+    if let Ok(mut file) = std::fs::File::options()
+        .create(true)
+        .append(true)
+        .open(record)
+    {
         let _ = std::io::Write::write_all(&mut file, format!("{text}\n").as_bytes());
     }
     ExitCode::from(code)
--- a/review/stand-ins/src/proxy.rs
+++ b/review/stand-ins/src/proxy.rs
@@ -28,7 +28,8 @@
             let Ok(server) = TcpStream::connect(&upstream) else {
                 continue;
             };
-            let (Ok(from_client), Ok(from_server)) = (client.try_clone(), server.try_clone()) else {
+            let (Ok(from_client), Ok(from_server)) = (client.try_clone(), server.try_clone())
+            else {
                 continue;
             };
             thread::spawn(move || copy(from_client, server, None));
@@ -81,7 +82,11 @@
     Ok(())
 }
 
-fn forward_orders(mut client: TcpStream, upstream: &str, held: &Mutex<HeldOrder>) -> std::io::Result<()> {
+fn forward_orders(
+    mut client: TcpStream,
+    upstream: &str,
+    held: &Mutex<HeldOrder>,
+) -> std::io::Result<()> {
     client.set_nodelay(true)?;
     let mut reader = BufReader::new(client.try_clone()?);
     while let Some(message) = Message::read(&mut reader)? {
@@ -103,7 +108,15 @@
 /// Sends a request to a worker; `None` without an answer.
 pub fn deliver(message: &Message, upstream: &str) -> Option<(u16, String)> {
     let path = message.first.split(' ').nth(1)?;
-    let instance = message.header("x-zinniavalve-expect-instance").unwrap_or_default();
-    let call = http::Call { method: "POST", path, body: &message.body, instance, ..http::Call::default() };
+    let instance = message
+        .header("x-zinniavalve-expect-instance")
+        .unwrap_or_default();
+    let call = http::Call {
+        method: "POST",
+        path,
+        body: &message.body,
+        instance,
+        ..http::Call::default()
+    };
     call.send(upstream, Duration::from_secs(4))
 }
--- a/review/stand-ins/src/worker.rs
+++ b/review/stand-ins/src/worker.rs
@@ -74,13 +74,20 @@
 
     fn extend(&mut self, body: &Json) {
         let asked = body.get("deadlineMs").number().unwrap_or(0);
-        self.deadline_ms = self.deadline_ms.max(asked.min(self.clock_ms() + HOLD_MAX_MS));
+        self.deadline_ms = self
+            .deadline_ms
+            .max(asked.min(self.clock_ms() + HOLD_MAX_MS));
     }
 
     fn end(&mut self, task: &str, run: u64, how: &'static str) {
         self.last_end += 1;
         say(&format!("end {task} run={run} how={how} on={}", self.id));
-        self.ended.push(End { number: self.last_end, task: task.to_owned(), run, how });
+        self.ended.push(End {
+            number: self.last_end,
+            task: task.to_owned(),
+            run,
+            how,
+        });
     }
 
     fn tick(&mut self) {
@@ -99,7 +106,10 @@
     }
 
     fn refusal(&self, reason: &str) -> (u16, String) {
-        (409, format!(r#"{{"clockMs":{},"reason":"{reason}"}}"#, self.clock_ms()))
+        (
+            409,
+            format!(r#"{{"clockMs":{},"reason":"{reason}"}}"#, self.clock_ms()),
+        )
     }
 
     fn accepted(&self) -> (u16, String) {
@@ -133,10 +143,20 @@
         if body.get("deadlineMs").number().unwrap_or(0) < self.clock_ms() {
             return self.refusal("late");
         }
-        let ms = body.get("spec").text().and_then(|s| s.parse().ok()).unwrap_or(1_000);
+        let ms = body
+            .get("spec")
+            .text()
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(1_000);
         self.last_run.insert(task.clone(), run);
         say(&format!("start {task} run={run} on={}", self.id));
-        self.running.insert((task, run), Run { began: Instant::now(), ms });
+        self.running.insert(
+            (task, run),
+            Run {
+                began: Instant::now(),
+                ms,
+            },
+        );
         self.accepted()
     }
 
@@ -155,7 +175,10 @@
         if last_seen > self.noted && last_seen <= self.last_end {
             self.noted = last_seen;
             for end in self.ended.iter().filter(|e| e.number <= last_seen) {
-                say(&format!("noted {} run={} how={} on={}", end.task, end.run, end.how, self.id));
+                say(&format!(
+                    "noted {} run={} how={} on={}",
+                    end.task, end.run, end.how, self.id
+                ));
             }
             self.ended.retain(|e| e.number > last_seen);
         }
@@ -231,13 +254,20 @@
     let mut sequence = 0;
     let mut next = 0;
     let mut known: Option<String> = None;
-    let delay_ms = std::env::var("FIRST_HEARTBEAT_MS").ok().and_then(|ms| ms.parse().ok());
+    let delay_ms = std::env::var("FIRST_HEARTBEAT_MS")
+        .ok()
+        .and_then(|ms| ms.parse().ok());
     thread::sleep(Duration::from_millis(delay_ms.unwrap_or(0)));
     loop {
         sequence += 1;
         let (id, born, clock_ms, draining) = {
             let state = lock(state);
-            (state.id.clone(), state.born, state.clock_ms(), state.draining)
+            (
+                state.id.clone(),
+                state.born,
+                state.clock_ms(),
+                state.draining,
+            )
         };
         let condition = if draining { "draining" } else { "ready" };
         let body = format!(
@@ -249,8 +279,15 @@
             addr, zone, condition, rack, clock_ms, sequence, born
         );
         let path = format!("/-/instances/{id}/heartbeat");
-        let to = known.clone().unwrap_or_else(|| control[next % control.len()].clone());
-        let call = Call { method: "POST", path: &path, body: &body, ..Call::default() };
+        let to = known
+            .clone()
+            .unwrap_or_else(|| control[next % control.len()].clone());
+        let call = Call {
+            method: "POST",
+            path: &path,
+            body: &body,
+            ..Call::default()
+        };
         match call.send(&to, Duration::from_millis(1_000)) {
             Some((status, body)) if (200..300).contains(&status) => {
                 if let Some(addr) = Json::parse(&body).get("heartbeatAddr").text() {
@@ -279,15 +316,27 @@
     thread::sleep(Duration::from_millis(DRAIN_MS + 500));
     let (path, body) = {
         let state = lock(state);
-        (format!("/-/instances/{}/deregister", state.id), format!(r#"{{"born":{}}}"#, state.born))
+        (
+            format!("/-/instances/{}/deregister", state.id),
+            format!(r#"{{"born":{}}}"#, state.born),
+        )
     };
     let until = Instant::now() + LEAVE_WAIT;
     for addr in control.iter().cycle() {
         say(&format!("deregister at {addr}"));
-        let call = Call { method: "POST", path: &path, body: &body, ..Call::default() };
+        let call = Call {
+            method: "POST",
+            path: &path,
+            body: &body,
+            ..Call::default()
+        };
         let answer = call.send(addr, Duration::from_millis(1_000));
-        say(&format!("deregister answered {:?}", answer.as_ref().map(|a| a.0)));
-        if answer.is_some_and(|(status, _)| (200..300).contains(&status)) || Instant::now() >= until {
+        say(&format!(
+            "deregister answered {:?}",
+            answer.as_ref().map(|a| a.0)
+        ));
+        if answer.is_some_and(|(status, _)| (200..300).contains(&status)) || Instant::now() >= until
+        {
             break;
         }
     }
@@ -298,8 +347,10 @@
     std::process::exit(0);
 }
 
-/// Runs a worker until a signal ends it, or the line `leave` on its input makes it leave. Arguments: id, listening address, address in the heartbeats, zone, rack, control addresses. The variable
-/// `FIRST_HEARTBEAT_MS` delays the first heartbeat.
+/// Runs a worker until a signal ends it, or the line `leave` on its input makes it leave.
+///
+/// Arguments: id, listening address, address in the heartbeats, zone, rack, control addresses. The
+/// variable `FIRST_HEARTBEAT_MS` delays the first heartbeat.
 pub fn run(args: &[String]) {
     let [id, bind, addr, zone, rack, control @ ..] = args else {
         panic!("worker ID BIND ADDRESS ZONE RACK CONTROL...");
