plan, control: a deregistration does not release the runs of its worker

Cause: the entry of a deregistration marked the incarnation as ended and released its runs, before the acknowledgement was even sent. The trace of the case (leader's log) shows `worker has shut down` and 8 ms later the start of run 2 as answered; the release itself had no log line.

Change: the record `deregister` only excludes the incarnation from tasks and leases. Its runs stay assigned; the leader stops them and polls the worker, and releases them when their ends are listed, when a poll no longer lists them, or when the leases have expired. The worker is acknowledged once it has no runs, so that it ends with nothing running; until then it gets a 503 after 0.7 s and tries again. A deregistration without the start of the incarnation counts only for a worker that drains. The log line `deregister` tells the runs at the request and at the answer.

Ruled out: a delayed start order (the first run was accepted 4.5 s before), a lapsed lease (9 s left).

--- a/crates/zinnia-control/src/requests.rs
+++ b/crates/zinnia-control/src/requests.rs
@@ -32,6 +32,10 @@
 /// Retry delay for callers while the request cannot be handled.
 const RETRY_AFTER_MS: u64 = 1_000;
 
+/// How long the answer to a deregistration waits for the runs of the worker to end. Workers try another
+/// process after a second.
+const DEREGISTER_WAIT: Duration = Duration::from_millis(700);
+
 /// Why a request is refused that the log cannot hold.
 const TOO_LARGE: &str = "the request exceeds the size limit of the log";
 
@@ -52,7 +56,7 @@
             Request::Publish { raw, document } => self.publish(raw, document).await,
             Request::Read => self.read_document(),
             Request::Heartbeat(heartbeat) => self.heartbeat(&heartbeat).await,
-            Request::Leave { worker, born } => self.end_incarnation(worker, born).await,
+            Request::Leave { worker, born } => self.deregister(worker, born).await,
         }
     }
 
@@ -116,22 +120,63 @@
         self.commit(records).await
     }
 
-    /// Handles the shutdown of a worker's incarnation; without `born`, of the current one.
-    async fn end_incarnation(&self, worker: String, born: Option<i64>) -> Answer {
-        let current = {
+    /// Handles the deregistration of a worker's incarnation; without `born`, of the current one.
+    ///
+    /// The worker ends when it is acknowledged. It is acknowledged only once no run is left on the worker, so
+    /// that their ends and checkpoints are known and their tasks can start elsewhere at once.
+    async fn deregister(&self, worker: String, born: Option<i64>) -> Answer {
+        let (born, is_recorded) = {
+            let cell = self.cell_state();
+            let Some(current) = cell.state.deregistering(&worker, born) else {
+                tracing::info!(
+                    event = "deregister",
+                    worker,
+                    born,
+                    "deregistration is outdated"
+                );
+                return Answer::Done;
+            };
+            let runs = current.runs.len();
+            let born = current.incarnation.born;
+            tracing::info!(
+                event = "deregister",
+                worker,
+                born,
+                runs,
+                "worker shuts down"
+            );
+            (born, current.left)
+        };
+        if !is_recorded {
+            let record = Record::Deregister {
+                worker: worker.clone(),
+                born,
+            };
+            let answer = self.commit(vec![record]).await;
+            if answer != Answer::Done {
+                return answer;
+            }
+        }
+        self.wait_for_last_run(&worker, born).await
+    }
+
+    /// Waits until a deregistered incarnation has no runs, and returns the answer to its request.
+    async fn wait_for_last_run(&self, worker: &str, born: i64) -> Answer {
+        let runs_left = || {
             let cell = self.cell_state();
             cell.state
-                .workers
-                .get(&worker)
-                .map(|w| w.incarnation.born)
-                .filter(|current| born.is_none_or(|b| b == *current))
+                .runs_after_deregistration(worker, born)
+                .unwrap_or(0)
         };
-        let Some(born) = current else {
-            return Answer::Done;
+        self.wait_for_progress(DEREGISTER_WAIT, || runs_left() == 0)
+            .await;
+        let runs = runs_left();
+        let answer = match runs {
+            0 => Answer::Done,
+            _ => Answer::Busy(RETRY_AFTER_MS),
         };
-        tracing::info!(event = "worker", worker, born, "worker has shut down");
-        self.commit(vec![Record::EndIncarnation { worker, born }])
-            .await
+        tracing::info!(event = "deregister", worker, born, runs, answer = ?answer, "deregistration answered");
+        self.confirm_leader(answer)
     }
 
     /// Delays the read of a job that may end soon until it ends. Callers poll at the time when they
@@ -155,6 +200,11 @@
             return;
         }
         let limit = Duration::from_millis(self.settings.read_wait_ms);
+        self.wait_for_progress(limit, || !may_end()).await;
+    }
+
+    /// Waits until `is_reached` holds in the state, or for `limit`.
+    async fn wait_for_progress(&self, limit: Duration, is_reached: impl Fn() -> bool) {
         let deadline = tokio::time::Instant::now() + limit;
         loop {
             let job_progress = self.job_progress.notified();
@@ -162,7 +212,7 @@
             // Registered before the check, so that a change between the check and the wait is not
             // missed.
             job_progress.as_mut().enable();
-            if !may_end()
+            if is_reached()
                 || tokio::time::timeout_at(deadline, job_progress)
                     .await
                     .is_err()
--- a/crates/zinnia-control/tests/common/mod.rs
+++ b/crates/zinnia-control/tests/common/mod.rs
@@ -281,6 +281,7 @@
     pub(crate) base: Settings,
     pub(crate) client: Process,
     pub(crate) worker: SharedWorker,
+    pub(crate) transport: Transport,
     pub(crate) origin: Instant,
     pub(crate) seeds: Vec<String>,
     pub(crate) dirs: Vec<tempfile::TempDir>,
@@ -292,10 +293,21 @@
     }
 
     pub(crate) async fn start_with(settings: Settings) -> Self {
-        let addrs: Vec<SocketAddr> = (0..3).map(|_| free_addr()).collect();
-        let seeds: Vec<String> = addrs.iter().map(ToString::to_string).collect();
         let worker = SharedWorker::default();
         let origin = Instant::now();
+        let transport = transport(&worker, origin);
+        Self::start_on(settings, worker, transport, origin).await
+    }
+
+    /// Starts a cell that reaches its workers through `transport`.
+    pub(crate) async fn start_on(
+        settings: Settings,
+        worker: SharedWorker,
+        transport: Transport,
+        origin: Instant,
+    ) -> Self {
+        let addrs: Vec<SocketAddr> = (0..3).map(|_| free_addr()).collect();
+        let seeds: Vec<String> = addrs.iter().map(ToString::to_string).collect();
         let base = Settings {
             seeds: seeds.clone(),
             bootstrap: true,
@@ -306,13 +318,14 @@
             peer_addr: free_addr(),
             ..base.clone()
         };
-        let client = Process::start(settings, transport(&worker, origin)).await;
+        let client = Process::start(settings, transport.clone()).await;
         let mut cell = Self {
             members: Vec::new(),
             disks: Vec::new(),
             base,
             client: client.expect("a process without a log"),
             worker,
+            transport,
             origin,
             seeds,
             dirs: Vec::new(),
@@ -345,7 +358,7 @@
         };
         self.dirs.push(dir);
         self.disks.push(disk);
-        let process = Process::start(settings, transport(&self.worker, self.origin)).await;
+        let process = Process::start(settings, self.transport.clone()).await;
         self.members.push(process.expect("a member"));
     }
 
--- a/crates/zinnia-plan/src/crash.rs
+++ b/crates/zinnia-plan/src/crash.rs
@@ -76,7 +76,7 @@
         let is_suspect = self
             .workers
             .get(&name)
-            .is_some_and(|w| self.may_have_crashed(w, id, run));
+            .is_some_and(|w| !w.left && self.may_have_crashed(w, id, run));
         if !was_refused
             && is_suspect
             && let Some(worker) = self.workers.get_mut(&name)
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -175,10 +175,11 @@
         &self.backlog
     }
 
-    /// Creates the view of each new incarnation in the state, and drops the views of ended ones.
+    /// Creates the view of each new incarnation in the state, and drops the views of those that have left
+    /// and have no runs.
     fn update_views(&mut self, state: &State, now: Time) {
         for (name, worker) in &state.workers {
-            if worker.left {
+            if worker.left && worker.runs.is_empty() {
                 self.views.remove(name);
                 continue;
             }
--- a/crates/zinnia-plan/src/polls.rs
+++ b/crates/zinnia-plan/src/polls.rs
@@ -34,7 +34,7 @@
             if is_idle && (!unconfirmed || idle_polls >= self.settings.max_idle_polls) {
                 continue;
             }
-            let answers = view.failed_calls == 0 && view.knows_clock();
+            let answers = view.failed_calls == 0 && view.knows_clock() && !worker.left;
             if answers && !is_idle && (worker.silence.is_some() || view.stop_proposed.is_some()) {
                 // The next poll renews the lease, and an entry must allow that before.
                 view.next_poll = now.after(retry_ms);
@@ -49,7 +49,7 @@
             view.open_poll = Some(now);
             // A poll without an answer may still have renewed the lease. After a failure the polls
             // request no renewal, since otherwise the lease could never be known to have expired.
-            let may_renew = view.failed_calls == 0 && view.stop_proposed.is_none();
+            let may_renew = view.failed_calls == 0 && view.stop_proposed.is_none() && !worker.left;
             let deadline_ms = match may_renew {
                 true => view.deadline(lease, now),
                 false => None,
--- a/crates/zinnia-plan/src/record.rs
+++ b/crates/zinnia-plan/src/record.rs
@@ -139,7 +139,15 @@
         /// Start time of the incarnation.
         born: i64,
     },
-    /// Marks an incarnation as ended; none of its runs continues.
+    /// Records that an incarnation has deregistered and will end. Its runs go on until they are stopped or
+    /// it ends, so they stay assigned.
+    Deregister {
+        /// Name of the worker.
+        worker: String,
+        /// Start time of the incarnation.
+        born: i64,
+    },
+    /// Marks an incarnation as ended: it is certain that none of its runs continues.
     #[serde(rename = "left")]
     EndIncarnation {
         /// Name of the worker.
--- a/crates/zinnia-plan/src/runs.rs
+++ b/crates/zinnia-plan/src/runs.rs
@@ -84,7 +84,8 @@
         }
     }
 
-    /// Stops runs that stalled or are no longer wanted.
+    /// Stops runs that stalled, are no longer wanted, or whose worker is about to end. The last ones can only
+    /// start elsewhere once they have ended.
     pub(crate) fn stop_runs(&mut self, state: &State, now: Time, plan: &mut Plan) {
         let retry_ms = self.settings.retry_ms;
         let suspect_ms = self.settings.suspect_ms;
@@ -102,7 +103,7 @@
                 if stalled {
                     view.suspect_until = view.suspect_until.max(now.after(suspect_ms));
                 }
-                let unwanted = stalled || !is_wanted(state, task, run);
+                let unwanted = worker.left || stalled || !is_wanted(state, task, run);
                 if unwanted && view.stop_times.get(&(task, run)).is_none_or(is_due) {
                     view.stop_times.insert((task, run), now);
                     plan.stops.push(RunOrder {
--- a/crates/zinnia-plan/src/silence.rs
+++ b/crates/zinnia-plan/src/silence.rs
@@ -114,7 +114,8 @@
         }
     }
 
-    /// Requests the entry that stops the renewal of the leases of workers that do not answer.
+    /// Requests the entry that stops the renewal of the leases of workers that do not answer or have
+    /// deregistered.
     pub(crate) fn stop_renewals(&mut self, state: &State, now: Time, plan: &mut Plan) {
         let retry_ms = self.settings.retry_ms;
         for (name, view, worker) in current_workers(&mut self.views, state) {
@@ -123,7 +124,7 @@
             }
             match view.stop_proposed {
                 Some(at) if now.since(at) < retry_ms => continue,
-                None if !view.renews_no_lease() => continue,
+                None if !view.renews_no_lease() && !worker.left => continue,
                 // The worker may answer again, but a proposed stop must be settled first.
                 _ => {}
             }
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -56,7 +56,8 @@
     pub silence: Option<Silence>,
     /// Whether the incarnation is about to shut down and gets no new tasks.
     pub draining: bool,
-    /// Whether the incarnation has ended.
+    /// Whether the incarnation has deregistered or ended. It gets no new tasks and no leases; its runs stay
+    /// assigned until each of them has certainly ended.
     pub left: bool,
     /// Assigned runs: the task and the number of the run.
     pub runs: BTreeSet<(TaskId, u32)>,
@@ -171,6 +172,10 @@
                 }
                 Reply::Done
             }
+            Record::Deregister { worker, born } => {
+                self.deregister(worker, *born);
+                Reply::Done
+            }
             Record::EndIncarnation { worker, born } => {
                 self.end_incarnation(worker, *born);
                 Reply::Done
@@ -306,11 +311,42 @@
         given_up
     }
 
+    /// Marks an incarnation as about to end.
+    ///
+    /// A deregistration does not show that the runs have ended: its acknowledgement may be lost, and the
+    /// worker goes on with them until it gives up waiting for one.
+    fn deregister(&mut self, worker: &str, born: i64) {
+        if let Some(current) = self.workers.get_mut(worker)
+            && current.incarnation.born == born
+        {
+            current.left = true;
+            current.released.clear();
+        }
+    }
+
+    /// Returns the worker if a deregistration refers to its current incarnation. Without the start of the
+    /// incarnation that is the case if the worker drains: a drain comes before each deregistration, and a
+    /// late deregistration must not stop the next incarnation.
+    pub fn deregistering(&self, worker: &str, born: Option<i64>) -> Option<&Worker> {
+        let current = self.workers.get(worker)?;
+        let is_current = match born {
+            Some(born) => current.incarnation.born == born,
+            None => current.draining || current.left,
+        };
+        is_current.then_some(current)
+    }
+
+    /// Number of runs of an incarnation that may go on after it has deregistered; `None` if it has not.
+    pub fn runs_after_deregistration(&self, worker: &str, born: i64) -> Option<usize> {
+        let current = self.workers.get(worker)?;
+        (current.incarnation.born == born && current.left).then_some(current.runs.len())
+    }
+
     fn end_incarnation(&mut self, worker: &str, born: i64) {
         let Some(current) = self.workers.get_mut(worker) else {
             return;
         };
-        if current.incarnation.born != born || current.left {
+        if current.incarnation.born != born {
             return;
         }
         current.left = true;
@@ -357,7 +393,7 @@
         let Some(current) = self.workers.get_mut(worker) else {
             return;
         };
-        if current.incarnation.born != born || current.left {
+        if current.incarnation.born != born {
             return;
         }
         let previous_end = current.acked_end;
