--- a/crates/zinnia-plan/tests/losses/faults.rs
+++ b/crates/zinnia-plan/tests/losses/faults.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 
 use crate::cell::wall_ms;
+use crate::departure::Departure;
 use crate::network::Call;
 use crate::network::Event;
 use crate::schedule::Fault;
@@ -38,6 +39,20 @@
                 self.lose_worker(i, reset);
                 self.machines[i].back = back_ms.map(|ms| now + ms);
             }
+            Fault::WorkerLeaves {
+                victim,
+                drain_ms,
+                wait_ms,
+                unanswered,
+                back_ms,
+            } => {
+                let i = self.victim(victim);
+                let machine = &mut self.machines[i];
+                machine.departure = Some(Departure::new(drain_ms, wait_ms, unanswered, back_ms));
+                machine.next_beat = now + 1;
+                let text = format!("{} is to leave, unanswered: {unanswered}", machine.name);
+                self.checks.note(now, text);
+            }
             Fault::LeaderLost { back_ms } => {
                 if let Some(member) = self.cell.lose_leader(now) {
                     self.restarts.push((now + back_ms, member));
@@ -98,6 +113,7 @@
         let now = self.now;
         let machine = &mut self.machines[i];
         machine.last_trouble = now;
+        machine.departure = None;
         let Some(life) = machine.life.take() else {
             return;
         };
--- a/crates/zinnia-plan/tests/losses/main.rs
+++ b/crates/zinnia-plan/tests/losses/main.rs
@@ -11,6 +11,7 @@
 
 mod cell;
 mod check;
+mod departure;
 mod faults;
 mod kept;
 mod network;
@@ -125,6 +126,12 @@
     sweep(Class::LateOrders);
 }
 
+/// Guards against tasks that start elsewhere while a worker that has deregistered still runs them.
+#[test]
+fn workers_deregister() {
+    sweep(Class::Deregistrations);
+}
+
 /// Guards against combinations of losses that the other schedules leave out.
 #[test]
 fn mixed_losses() {
--- a/crates/zinnia-plan/tests/losses/network.rs
+++ b/crates/zinnia-plan/tests/losses/network.rs
@@ -74,6 +74,8 @@
     Order { member: usize, order: StartOrder },
     /// A late heartbeat arrives.
     Beat(Heartbeat),
+    /// A deregistration arrives, with the start of the incarnation if it tells it.
+    Deregister { machine: usize, born: Option<i64> },
 }
 
 /// How the path to a worker is at a moment.
--- a/crates/zinnia-plan/tests/losses/schedule.rs
+++ b/crates/zinnia-plan/tests/losses/schedule.rs
@@ -38,6 +38,8 @@
     LeaderCut,
     /// Workers are lost while many tasks start, and back while late orders to them may still arrive.
     LateOrders,
+    /// Workers deregister while they run tasks, around the loss of a leader or of another worker.
+    Deregistrations,
     /// Any of these at random moments.
     Mixed,
     /// A kept sequence.
@@ -63,6 +65,18 @@
         back_ms: Option<u64>,
         reset: bool,
     },
+    /// A worker drains, deregisters and ends when that is acknowledged, or some seconds later.
+    WorkerLeaves {
+        victim: Victim,
+        /// Time between its first heartbeat that reports the drain and its deregistration.
+        drain_ms: u64,
+        /// How long it waits for an acknowledgement.
+        wait_ms: u64,
+        /// Whether the answers to its deregistrations are lost.
+        unanswered: bool,
+        /// When a new incarnation starts after its end, if given.
+        back_ms: Option<u64>,
+    },
     /// The leader is killed, and starts again after `back_ms`.
     LeaderLost { back_ms: u64 },
     /// The leader changes without a loss.
@@ -149,6 +163,9 @@
 fn duration_ms(fault: &Fault) -> u64 {
     match fault {
         Fault::WorkerCut { ms, .. } | Fault::LeaderCut { ms, .. } => *ms,
+        Fault::WorkerLeaves {
+            drain_ms, wait_ms, ..
+        } => drain_ms + wait_ms,
         Fault::WorkerLost { .. } | Fault::LeaderLost { .. } | Fault::StepDown => 0,
     }
 }
@@ -209,6 +226,22 @@
         again
     }
 
+    /// A worker leaves; returns the time at which it deregisters, if its drain is answered at once.
+    fn leave(&mut self, at: u64) -> u64 {
+        let drain_ms = self.rng.random_range(2_000..3_500);
+        let victim = self.victim();
+        let back = self.rng.random_bool(0.3);
+        let fault = Fault::WorkerLeaves {
+            victim,
+            drain_ms,
+            wait_ms: self.rng.random_range(1_500..5_000),
+            unanswered: self.rng.random_bool(0.6),
+            back_ms: back.then(|| self.rng.random_range(50..6_000)),
+        };
+        self.add(at, fault);
+        at + drain_ms
+    }
+
     fn cut_worker(&mut self, at: u64) -> u64 {
         let victim = self.victim();
         let ms = self.rng.random_range(200..9_000);
@@ -318,6 +351,25 @@
                     self.lose_worker(at, Victim::Holder(task), Some(back_ms));
                 }
             }
+            Class::Deregistrations => {
+                let at = self.leave(first);
+                let other = self.around(at, gap);
+                match self.rng.random_range(0..6) {
+                    0 => {}
+                    1 => {
+                        self.leave(other);
+                    }
+                    2 => self.add(other, Fault::StepDown),
+                    3 => {
+                        self.cut_worker(other);
+                    }
+                    4 => {
+                        self.cut_leader(other);
+                    }
+                    _ => self.lose_leader(other),
+                }
+                self.step_down_sometimes(at);
+            }
             Class::Kept => {}
             Class::Mixed => {
                 let mut at = first;
--- a/crates/zinnia-plan/tests/losses/sim.rs
+++ b/crates/zinnia-plan/tests/losses/sim.rs
@@ -24,6 +24,8 @@
 use crate::check::Checks;
 use crate::check::Kind;
 use crate::check::Outcome;
+use crate::departure::Departure;
+use crate::departure::OpenRequest;
 use crate::network;
 use crate::network::Answer;
 use crate::network::Call;
@@ -58,6 +60,8 @@
     pub(crate) cut_from: u64,
     pub(crate) relayed: bool,
     pub(crate) last_trouble: u64,
+    /// How the incarnation leaves, if it is about to.
+    pub(crate) departure: Option<Departure>,
 }
 
 /// A simulation in progress.
@@ -72,6 +76,8 @@
     pub(crate) counter: u64,
     pub(crate) restarts: Vec<(u64, usize)>,
     pub(crate) joins: Vec<(u64, usize)>,
+    /// Deregistrations that a leader has received and not answered.
+    pub(crate) deregistrations: Vec<OpenRequest>,
     pub(crate) last_victim: usize,
     pub(crate) next_submit: u64,
     pub(crate) works: BTreeMap<JobId, Work>,
@@ -109,6 +115,7 @@
             cut_from: 0,
             relayed: false,
             last_trouble: 0,
+            departure: None,
         };
         Self {
             next_submit: rng.random_range(1_500..2_500),
@@ -122,6 +129,7 @@
             counter: 0,
             restarts: Vec::new(),
             joins: Vec::new(),
+            deregistrations: Vec::new(),
             last_victim: 0,
             works: BTreeMap::new(),
             frozen: None,
@@ -136,6 +144,7 @@
         self.recover();
         self.advance_cell();
         self.advance_workers();
+        self.advance_departures();
         self.deliver();
         self.submit();
         if let Some((member, plan)) = self.cell.plan(self.now) {
@@ -248,6 +257,7 @@
                 Event::Beat(heartbeat) => {
                     self.receive_beat(&heartbeat);
                 }
+                Event::Deregister { machine, born } => self.receive_deregistration(machine, born),
             }
         }
     }
--- a/crates/zinnia-plan/tests/losses/workload.rs
+++ b/crates/zinnia-plan/tests/losses/workload.rs
@@ -96,7 +96,7 @@
             },
             sequence: life.sequence,
             clock_ms: life.clock_ms(now),
-            draining: false,
+            draining: machine.departure.is_some(),
             remaining_ms: None,
         };
         if now < machine.cut_from && !machine.relayed {
@@ -108,6 +108,8 @@
             self.push(at, Event::Beat(heartbeat));
         } else if !self.receive_beat(&heartbeat) {
             self.machines[i].next_beat = now + pause_ms.min(150);
+        } else if let Some(departure) = &mut self.machines[i].departure {
+            departure.drain_answered(now);
         }
     }
 
