plan, control: tasks that can move leave a draining worker before it deregisters

Change: the leader stops the runs of a draining worker that resume from a checkpoint, which the stop saves, or that last until they are cancelled. Other tasks stay, since they may end before the worker does. A worker that deregisters again is acknowledged with runs left, since holding back the answer serves nothing any more.

Ruled out: a refused connection as proof that the worker has ended. Cuts can refuse connections while it runs.

--- a/crates/zinnia-control/src/requests.rs
+++ b/crates/zinnia-control/src/requests.rs
@@ -122,8 +122,9 @@
 
     /// Handles the deregistration of a worker's incarnation; without `born`, of the current one.
     ///
-    /// The worker ends when it is acknowledged. It is acknowledged only once no run is left on the worker, so
-    /// that their ends and checkpoints are known and their tasks can start elsewhere at once.
+    /// The worker ends when it is acknowledged. The answer waits for its runs to end, so that their ends and
+    /// checkpoints are known and their tasks can start elsewhere at once. A worker that asks again is
+    /// acknowledged with runs, too, since it may have stopped to serve; its runs then wait for the leases.
     async fn deregister(&self, worker: String, born: Option<i64>) -> Answer {
         let (born, is_recorded) = {
             let cell = self.cell_state();
@@ -157,11 +158,17 @@
                 return answer;
             }
         }
-        self.wait_for_last_run(&worker, born).await
+        let runs = self.wait_for_last_run(&worker, born).await;
+        let answer = match runs == 0 || is_recorded {
+            true => Answer::Done,
+            false => Answer::Busy(RETRY_AFTER_MS),
+        };
+        tracing::info!(event = "deregister", worker, born, runs, answer = ?answer, "deregistration answered");
+        self.confirm_leader(answer)
     }
 
-    /// Waits until a deregistered incarnation has no runs, and returns the answer to its request.
-    async fn wait_for_last_run(&self, worker: &str, born: i64) -> Answer {
+    /// Waits until a deregistered incarnation has no runs. Returns their number after the wait.
+    async fn wait_for_last_run(&self, worker: &str, born: i64) -> usize {
         let runs_left = || {
             let cell = self.cell_state();
             cell.state
@@ -170,13 +177,7 @@
         };
         self.wait_for_progress(DEREGISTER_WAIT, || runs_left() == 0)
             .await;
-        let runs = runs_left();
-        let answer = match runs {
-            0 => Answer::Done,
-            _ => Answer::Busy(RETRY_AFTER_MS),
-        };
-        tracing::info!(event = "deregister", worker, born, runs, answer = ?answer, "deregistration answered");
-        self.confirm_leader(answer)
+        runs_left()
     }
 
     /// Delays the read of a job that may end soon until it ends. Callers poll at the time when they
--- a/crates/zinnia-plan/src/runs.rs
+++ b/crates/zinnia-plan/src/runs.rs
@@ -103,7 +103,8 @@
                 if stalled {
                     view.suspect_until = view.suspect_until.max(now.after(suspect_ms));
                 }
-                let unwanted = worker.left || stalled || !is_wanted(state, task, run);
+                let leaves = worker.left || worker.draining && can_move(state, task);
+                let unwanted = leaves || stalled || !is_wanted(state, task, run);
                 if unwanted && view.stop_times.get(&(task, run)).is_none_or(is_due) {
                     view.stop_times.insert((task, run), now);
                     plan.stops.push(RunOrder {
@@ -120,6 +121,14 @@
     }
 }
 
+/// Whether a run can be moved to another worker without the loss of work: the task resumes from a checkpoint,
+/// which a stop saves, or lasts until it is cancelled.
+fn can_move(state: &State, task: TaskId) -> bool {
+    state
+        .step(task)
+        .is_some_and(|step| step.checkpoints || step.long_running)
+}
+
 /// Whether a run should continue: its job is open, and all members of its gang are assigned.
 fn is_wanted(state: &State, task: TaskId, run: u32) -> bool {
     let Some(job) = state.jobs.get(&task.job) else {
--- a/crates/zinnia-plan/tests/deregistration.rs
+++ b/crates/zinnia-plan/tests/deregistration.rs
@@ -277,3 +277,47 @@
     let records = sim.leader.heartbeat(&sim.state, &heartbeat, Time(sim.now));
     assert_eq!(records, []);
 }
+
+/// Guards against work that is lost, and tasks that are late, because they stay on a draining worker until it
+/// ends. Tasks without a checkpoint stay, since they may end in time.
+#[test]
+fn tasks_that_can_move_leave_a_draining_worker() {
+    struct Case {
+        name: &'static str,
+        step: Step,
+        stopped: usize,
+    }
+    let cases = [
+        Case {
+            name: "without a checkpoint",
+            step: step(1, 1_000),
+            stopped: 0,
+        },
+        Case {
+            name: "with checkpoints",
+            step: Step {
+                checkpoints: true,
+                ..step(1, 1_000)
+            },
+            stopped: 1,
+        },
+        Case {
+            name: "is to last",
+            step: Step {
+                long_running: true,
+                ..step(1, 1_000)
+            },
+            stopped: 1,
+        },
+    ];
+    for case in cases {
+        let mut sim = Simulation::new(document(None));
+        sim.add_worker(&incarnation("w", 4_000));
+        sim.submit(job(vec![case.step]));
+        assert_eq!(sim.start_tasks().len(), 1, "{}", case.name);
+        assert!(sim.plan_after(100).stops.is_empty(), "{}", case.name);
+        sim.heartbeat(&incarnation("w", 4_000), 2, true);
+        let stops = sim.plan_after(100).stops;
+        assert_eq!(stops.len(), case.stopped, "{}", case.name);
+    }
+}
