sched: jobs wait for a team that the document has dropped

Callers of zinniavalved saw accepted jobs end for good as `never_fits` ("the limit of team a is 0") with the first document that did not name their team, also if the next one named it again; started jobs did so once their worker was lost.

Cause: a team that the document does not name has a limit of zero, and each job above the limit of its team ends.

Change: only a limit that the document names ends a job. Tasks of a dropped team still cannot start.

Result: waiting_jobs_outlive_removal_of_their_team failed before ("left: Some(NeverFits { .. limit of team a is 0 })") and passes, with the other tests of the crate.

--- a/crates/zinnia-sched/src/fits.rs
+++ b/crates/zinnia-sched/src/fits.rs
@@ -88,7 +88,9 @@
     /// Why the job can never fit within its team's limit, or `None` if it can.
     fn limit_violation(&self, id: JobId) -> Option<String> {
         let work = self.jobs.get(&id)?;
-        let limit = self.teams.list[work.team].limit?;
+        // A team that the document has dropped may come back, and its accepted jobs wait for that.
+        let team = &self.teams.list[work.team];
+        let limit = team.limit.filter(|_| team.is_named)?;
         let job = &work.job;
         let total_need = job.need.saturating_mul(concurrent_tasks(job));
         if total_need.fits(&limit) {
--- a/crates/zinnia-sched/src/team.rs
+++ b/crates/zinnia-sched/src/team.rs
@@ -28,8 +28,11 @@
     pub(crate) id: TeamId,
     /// Share in the current document; 0 if the document does not name the team.
     pub(crate) share: u32,
-    /// Limit over all domains; `None` until a document is applied.
+    /// Limit over all domains; `None` until a document is applied, zero if the document does not name the
+    /// team.
     pub(crate) limit: Option<Resources>,
+    /// Whether the current document names the team.
+    pub(crate) is_named: bool,
     /// Part of the limit that is allotted to this domain.
     pub(crate) allotment: Resources,
     pub(crate) quota: Quota,
@@ -63,6 +66,7 @@
             id,
             share: 0,
             limit: None,
+            is_named: false,
             allotment: Resources::ZERO,
             quota: Quota {
                 fraction: 0.0,
@@ -142,17 +146,20 @@
         self.slots.get(&id).map(|&slot| &self.list[slot])
     }
 
-    /// Applies the shares and limits of a document. Teams that it does not name cannot start tasks.
+    /// Applies the shares and limits of a document. Teams that it does not name cannot start tasks; their
+    /// jobs wait for a document that names them.
     pub(crate) fn apply(&mut self, document: &Document, split: &SplitFn, settings: &RetrySettings) {
         for team in &mut self.list {
             team.share = 0;
             team.limit = Some(Resources::ZERO);
+            team.is_named = false;
         }
         for configured in &document.teams {
             let slot = self.slot(configured.name, settings);
             let team = &mut self.list[slot];
             team.share = configured.share;
             team.limit = Some(configured.limit);
+            team.is_named = true;
         }
         let shares = document.teams.iter().map(|t| u64::from(t.share)).sum();
         for team in &mut self.list {
