plan, control: accepted jobs follow their route over all documents

Cause: a job kept only the name of its queue. Placement, the backlog and the limit of attempts looked that name up in the current document, and skipped the job, or took a limit of 1, without a result.

Change: a job keeps the host and prefix of its queue, which the platform requires to be unique; names are not. It follows the queue there whatever its name, pool or limits. Once no queue is there, the last settings stay in the state as long as an open job needs them; the same holds for the limits of a team. A submission that the log applies after its route was removed is refused. A repeated submission under a later document is recognised by its description. Jobs of earlier builds are bound to a route by name.

--- a/crates/zinnia-control/src/requests.rs
+++ b/crates/zinnia-control/src/requests.rs
@@ -249,7 +249,7 @@
         let team = team.map(|t| t.name.clone()).unwrap_or_default();
         let rest = request.path.strip_prefix(&queue.prefix).unwrap_or_default();
         if rest.is_empty() && request.action == CallerAction::Get {
-            return Decision::Answer(Answer::Pending(state.pending(&queue.name)));
+            return Decision::Answer(Answer::Pending(state.pending(queue)));
         }
         let Some(id) = job_id(rest) else {
             return Decision::Answer(Answer::NoQueue);
@@ -268,6 +268,7 @@
                 Decision::Record(Record::Submit {
                     id,
                     queue: queue.name.clone(),
+                    route: Some(queue.route()),
                     team,
                     spec,
                 })
@@ -328,6 +329,7 @@
                 match reply.and_then(|r| r.into_iter().next()) {
                     Some(Reply::Conflict) => Answer::Conflict,
                     Some(Reply::Unknown) => Answer::Gone,
+                    Some(Reply::NoQueue) => Answer::NoQueue,
                     Some(_) => Answer::Done,
                     None => Answer::Unknown,
                 }
--- a/crates/zinnia-plan/src/backlog.rs
+++ b/crates/zinnia-plan/src/backlog.rs
@@ -83,7 +83,7 @@
         }
         let open = state.live.iter().filter_map(|id| state.jobs.get(id));
         for job in open.filter(|j| j.status == Status::Open) {
-            if let Some(queue) = state.document.queue(&job.queue) {
+            if let Some(queue) = state.queue_of(job) {
                 backlog.add_job(job, queue, wall_ms);
             }
         }
--- a/crates/zinnia-plan/src/document.rs
+++ b/crates/zinnia-plan/src/document.rs
@@ -51,7 +51,29 @@
     pub public: bool,
 }
 
+/// Host and path prefix of a queue. They identify it in each document, while its name may change.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Route {
+    /// Host name of requests to the queue.
+    pub host: String,
+    /// Path prefix of requests to the queue.
+    pub prefix: String,
+}
+
 impl Queue {
+    /// Host and path prefix of the queue.
+    pub fn route(&self) -> Route {
+        Route {
+            host: self.host.clone(),
+            prefix: self.prefix.clone(),
+        }
+    }
+
+    /// Whether the queue has this host and path prefix.
+    pub fn is_at(&self, route: &Route) -> bool {
+        self.host == route.host && self.prefix == route.prefix
+    }
+
     /// Multiple of its objective after which the end of a job is of no use to its caller.
     const EXPIRY_FACTOR: u64 = 3;
 
@@ -182,6 +204,11 @@
         self.queues.iter().find(|q| q.name == name)
     }
 
+    /// Returns the queue with this host and path prefix.
+    pub fn queue_at(&self, route: &Route) -> Option<&Queue> {
+        self.queues.iter().find(|q| q.is_at(route))
+    }
+
     /// Returns the team that this API key identifies.
     pub fn team_of(&self, key: &str) -> Option<&Team> {
         self.teams.iter().find(|t| t.keys.iter().any(|k| k == key))
--- a/crates/zinnia-plan/src/headroom.rs
+++ b/crates/zinnia-plan/src/headroom.rs
@@ -10,10 +10,11 @@
 
 use zinnia_types::Time;
 
-use crate::Document;
+use crate::Job;
 use crate::Leader;
 use crate::Queue;
 use crate::Resources;
+use crate::Route;
 use crate::State;
 use crate::Status;
 use crate::placement::PlacementPass;
@@ -103,8 +104,8 @@
 }
 
 impl<'a> UrgentWork<'a> {
-    pub(crate) fn new(document: &'a Document, teams: &'a UrgentTeams) -> Self {
-        let urgent = document.queues.iter().filter(|q| q.is_urgent());
+    pub(crate) fn new(state: &'a State, teams: &'a UrgentTeams) -> Self {
+        let urgent = state.queues().filter(|q| q.is_urgent());
         Self {
             pools: urgent.map(|q| q.pool.as_str()).collect(),
             teams,
@@ -122,14 +123,12 @@
 impl Leader {
     /// Records the demand of each team's urgent jobs.
     pub(crate) fn update_urgent_teams(&mut self, state: &State, now: Time) {
-        let queues = state.document.queues.iter();
-        let urgent: BTreeSet<&str> = queues
-            .filter(|q| q.is_urgent())
-            .map(|q| q.name.as_str())
-            .collect();
+        let queues = state.queues().filter(|q| q.is_urgent());
+        let urgent: BTreeSet<Route> = queues.map(Queue::route).collect();
+        let is_urgent = |job: &&Job| job.route.as_ref().is_some_and(|r| urgent.contains(r));
         let mut demands: BTreeMap<&str, CurrentDemand> = BTreeMap::new();
         let live = state.live.iter().filter_map(|id| state.jobs.get(id));
-        for job in live.filter(|j| j.status == Status::Open && urgent.contains(j.queue.as_str())) {
+        for job in live.filter(|j| j.status == Status::Open).filter(is_urgent) {
             let demand = demands.entry(&job.team).or_default();
             for (step, tasks) in job.ready_steps(state.at_ms) {
                 let open = u64::from(step.count).saturating_sub(u64::from(tasks.done));
--- a/crates/zinnia-plan/src/job.rs
+++ b/crates/zinnia-plan/src/job.rs
@@ -4,6 +4,8 @@
 use serde::Serialize;
 
 use crate::JobSpec;
+use crate::Queue;
+use crate::Route;
 use crate::Step;
 
 /// State of a job.
@@ -91,8 +93,15 @@
 /// State of one job.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Job {
-    /// Name of the queue.
+    /// Name of the queue at the submission.
     pub queue: String,
+    /// Host and path prefix of the queue; `None` for a job that an earlier build accepted, until its queue is
+    /// found by its name.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub route: Option<Route>,
+    /// Version of the document that admitted it; 0 if an earlier build did.
+    #[serde(default)]
+    pub version: u64,
     /// Name of the team; empty for a public queue without an API key.
     pub team: String,
     /// The submitted description; cleared once the job has ended and none of its tasks may run.
@@ -131,6 +140,31 @@
         }
     }
 
+    /// Whether the job belongs to a queue.
+    pub fn is_of(&self, queue: &Queue) -> bool {
+        match &self.route {
+            Some(route) => queue.is_at(route),
+            None => queue.name == self.queue,
+        }
+    }
+
+    /// Whether a submission under the same id repeats the one of this job; `version` is that of the current
+    /// document.
+    ///
+    /// A later document may have renamed the queue or moved the caller's key to another team. Then the
+    /// description decides, or one of the two names once the description is cleared.
+    pub(crate) fn is_same(&self, other: &Self, version: u64) -> bool {
+        let same_route = self.route.is_some() && self.route == other.route;
+        let same_queue = same_route || self.queue == other.queue;
+        let same_team = self.team == other.team;
+        if same_queue && same_team {
+            return true;
+        }
+        let is_cleared = self.spec == JobSpec::default();
+        let same_spec = self.spec == other.spec || is_cleared && (same_queue || same_team);
+        self.version != version && same_spec
+    }
+
     /// Returns when a round is due, in milliseconds since the Unix epoch.
     pub fn due_ms(&self, round: u32) -> i64 {
         match &self.spec.repeat {
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -63,7 +63,7 @@
             capacities,
             usage: BTreeMap::new(),
             gang_reservations: BTreeMap::new(),
-            urgent: UrgentWork::new(&state.document, &self.urgent_teams),
+            urgent: UrgentWork::new(state, &self.urgent_teams),
             now,
             wall_ms,
         };
--- a/crates/zinnia-plan/src/record.rs
+++ b/crates/zinnia-plan/src/record.rs
@@ -7,6 +7,7 @@
 use crate::Document;
 use crate::JobSpec;
 use crate::Resources;
+use crate::Route;
 use crate::TaskId;
 
 /// A log entry: records that are applied together.
@@ -115,6 +116,9 @@
         id: JobId,
         /// Name of the queue.
         queue: String,
+        /// Host and path prefix of the queue; `None` from a build that does not tell.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        route: Option<Route>,
         /// Name of the team; empty for a public queue without an API key.
         team: String,
         /// Description of the job.
@@ -266,4 +270,6 @@
     Conflict,
     /// No job with this id exists.
     Unknown,
+    /// The document has no queue at this host and path prefix any more; the job is not accepted.
+    NoQueue,
 }
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -14,6 +14,7 @@
 use crate::Incarnation;
 use crate::Job;
 use crate::JobSpec;
+use crate::Queue;
 use crate::Record;
 use crate::Reply;
 use crate::Resources;
@@ -24,6 +25,7 @@
 use crate::TaskId;
 use crate::job::StepState;
 use crate::job::Task;
+use crate::retired::Retired;
 
 /// How long an ended job stays in the state, so that callers can read its outcome.
 const RETENTION_MS: i64 = 180_000;
@@ -95,6 +97,9 @@
     pub raw: String,
     /// The current document.
     pub document: Document,
+    /// Queues and teams that the current document does not have any more and that have open jobs.
+    #[serde(default, skip_serializing_if = "Retired::is_empty")]
+    pub(crate) retired: Retired,
     /// Jobs, including recently ended ones.
     pub jobs: BTreeMap<JobId, Job>,
     /// Latest incarnation of each worker, by name.
@@ -143,17 +148,25 @@
         match record {
             Record::Document { raw, document } => {
                 if document.version > self.document.version {
-                    self.raw.clone_from(raw);
-                    self.document.clone_from(document);
+                    self.replace_document(raw, document);
                 }
                 Reply::Done
             }
             Record::Submit {
                 id,
                 queue,
+                route,
                 team,
                 spec,
-            } => self.submit(*id, queue, team, spec),
+            } => {
+                let job = Job::new(queue.clone(), team.clone(), spec.clone(), self.at_ms);
+                let job = Job {
+                    route: route.clone(),
+                    version: self.document.version,
+                    ..job
+                };
+                self.submit(*id, job)
+            }
             Record::Cancel(id) => self.cancel(*id),
             Record::AddIncarnation {
                 incarnation,
@@ -202,13 +215,23 @@
         }
     }
 
-    fn submit(&mut self, id: JobId, queue: &str, team: &str, spec: &JobSpec) -> Reply {
-        if let Some(job) = self.jobs.get(&id) {
-            let same = job.queue == queue && job.team == team;
-            return if same { Reply::Done } else { Reply::Conflict };
+    fn submit(&mut self, id: JobId, job: Job) -> Reply {
+        if let Some(known) = self.jobs.get(&id) {
+            return match known.is_same(&job, self.document.version) {
+                true => Reply::Done,
+                false => Reply::Conflict,
+            };
+        }
+        // The document may have changed since the leader chose the queue.
+        if job
+            .route
+            .as_ref()
+            .is_some_and(|r| self.document.queue_at(r).is_none())
+        {
+            return Reply::NoQueue;
         }
-        let job = Job::new(queue.to_owned(), team.to_owned(), spec.clone(), self.at_ms);
         self.jobs.insert(id, job);
+        self.bind_job(id);
         self.live.insert(id);
         Reply::Done
     }
@@ -448,11 +471,8 @@
         let Some(job) = self.jobs.get(&id.job) else {
             return;
         };
-        let max_attempts = self
-            .document
-            .queue(&job.queue)
-            .map_or(1, |q| q.max_attempts);
-        if !long_running && failures > 0 && failures >= max_attempts {
+        let is_exhausted = |q: &Queue| failures > 0 && failures >= q.max_attempts;
+        if !long_running && self.queue_of(job).is_some_and(is_exhausted) {
             self.end_job(id.job, Status::Failed);
         } else if job.is_complete() {
             self.end_job(id.job, Status::Completed);
@@ -471,11 +491,11 @@
     }
 
     /// Number of open jobs of a queue of which no task was started yet.
-    pub fn pending(&self, queue: &str) -> usize {
+    pub fn pending(&self, queue: &Queue) -> usize {
         let is_pending = |id: &&JobId| {
             self.jobs
                 .get(id)
-                .is_some_and(|j| j.queue == queue && !j.begun && j.status == Status::Open)
+                .is_some_and(|j| j.is_of(queue) && !j.begun && j.status == Status::Open)
         };
         self.live.iter().filter(is_pending).count()
     }
--- a/crates/zinnia-plan/src/team_limit.rs
+++ b/crates/zinnia-plan/src/team_limit.rs
@@ -8,7 +8,7 @@
     /// Whether the team may run `count` more tasks of the step within its limit, less what the step
     /// must leave to urgent jobs.
     pub(crate) fn within_team_limit(&mut self, waiting: &WaitingStep<'a>, count: u64) -> bool {
-        let Some(team) = self.state.document.team(&waiting.job.team) else {
+        let Some(team) = self.state.team(&waiting.job.team) else {
             return true;
         };
         let headroom = self.team_headroom(waiting, &team.cap);
--- a/crates/zinnia-plan/src/waiting.rs
+++ b/crates/zinnia-plan/src/waiting.rs
@@ -4,6 +4,7 @@
 
 use crate::Job;
 use crate::Queue;
+use crate::Route;
 use crate::State;
 use crate::Status;
 use crate::Step;
@@ -52,13 +53,17 @@
     let mut steps_waiting = Vec::new();
     // The lookup of a queue is cached, since a document may have many hundreds of queues, of which
     // few have jobs.
-    let mut queues: BTreeMap<&str, Option<&Queue>> = BTreeMap::new();
+    let mut queues: BTreeMap<&Route, Option<&Queue>> = BTreeMap::new();
     for id in &state.live {
         let Some(job) = state.jobs.get(id).filter(|j| j.status == Status::Open) else {
             continue;
         };
-        let find = || state.document.queue(&job.queue);
-        let Some(queue) = *queues.entry(&job.queue).or_insert_with(find) else {
+        let find = || state.queue_of(job);
+        let found = match &job.route {
+            Some(route) => *queues.entry(route).or_insert_with(find),
+            None => find(),
+        };
+        let Some(queue) = found else {
             continue;
         };
         for (r, steps) in (0..).zip(&job.rounds) {
--- a/crates/zinnia-plan/tests/common/mod.rs
+++ b/crates/zinnia-plan/tests/common/mod.rs
@@ -218,6 +218,7 @@
         self.apply(Record::Submit {
             id: JobId(id),
             queue: queue.to_owned(),
+            route: self.state.document.queue(queue).map(Queue::route),
             team: "kibo".to_owned(),
             spec,
         });
--- a/crates/zinnia-plan/tests/losses/workload.rs
+++ b/crates/zinnia-plan/tests/losses/workload.rs
@@ -186,6 +186,7 @@
         Record::Submit {
             id,
             queue: "quick".to_owned(),
+            route: None,
             team: "kibo".to_owned(),
             spec: JobSpec {
                 text: "work".to_owned(),
--- a/crates/zinnia-plan/tests/overload.rs
+++ b/crates/zinnia-plan/tests/overload.rs
@@ -336,6 +336,7 @@
             cell.sim.apply(Record::Submit {
                 id: JobId(1),
                 queue: "other".to_owned(),
+                route: None,
                 team: team.to_owned(),
                 spec: job(vec![waiting]),
             });
--- a/crates/zinnia-plan/tests/state.rs
+++ b/crates/zinnia-plan/tests/state.rs
@@ -236,6 +236,7 @@
     let other = sim.apply(Record::Submit {
         id: JobId(1),
         queue: "quick".to_owned(),
+        route: None,
         team: "other".to_owned(),
         spec: job(vec![step(1, 1_000)]),
     });
