plan, control, platform: a heartbeat with the address of a worker does not end it

The worker's runs were released at once, its tasks started elsewhere, and the worker, which ran on, got no work any more.

Cause: the entry of an incarnation marked each earlier one with the same address as ended. The argument, that only one process can listen on an address, holds for what answers there, not for what a heartbeat says.

Runs of an earlier incarnation stay if the polled one is only known from a heartbeat. The outcome of a poll is a type of its own, so that an answer of another worker is not the same as none.

crashes_of_renamed_workers_count expected the crash to count with the heartbeat alone, which is the fault. It now checks that a heartbeat counts nothing, and that the proof does. documents.rs: expectation of a lint.

--- a/crates/zinnia-control/src/leader.rs
+++ b/crates/zinnia-control/src/leader.rs
@@ -14,6 +14,7 @@
 use zinnia_plan::Plan;
 use zinnia_plan::PolicyQuery;
 use zinnia_plan::Poll;
+use zinnia_plan::PollAnswer;
 use zinnia_plan::QueryBudget;
 use zinnia_plan::Record;
 use zinnia_plan::Reply;
@@ -329,14 +330,30 @@
     let answer = (transport.poll)(poll.clone());
     let context = Arc::clone(context);
     tokio::spawn(async move {
-        let report = answer.await;
+        let answer = answer.await;
         let records = {
             let mut cell = context.cell_state();
             let cell = &mut *cell;
             let now = clock::now();
-            match cell.leader.as_mut() {
-                Some(leader) => leader.poll_answered(&cell.state, &poll, report.as_ref(), now),
-                None => Vec::new(),
+            let state = &cell.state;
+            match (cell.leader.as_mut(), answer) {
+                (None, _) => Vec::new(),
+                (Some(leader), PollAnswer::Report(report)) => {
+                    leader.poll_answered(state, &poll, Some(&report), now)
+                }
+                (Some(leader), PollAnswer::OtherWorker) => {
+                    let record = leader.poll_misdirected(state, &poll, now);
+                    tracing::info!(
+                        event = "worker",
+                        worker = poll.worker,
+                        born = poll.born,
+                        addr = poll.addr,
+                        ended = record.is_some(),
+                        "another worker answers at the address of a worker"
+                    );
+                    record.into_iter().collect()
+                }
+                (Some(leader), PollAnswer::None) => leader.poll_answered(state, &poll, None, now),
             }
         };
         if !records.is_empty() {
--- a/crates/zinnia-control/src/log_hooks.rs
+++ b/crates/zinnia-control/src/log_hooks.rs
@@ -11,6 +11,7 @@
 use zinnia_plan::EndReason;
 use zinnia_plan::Record;
 use zinnia_plan::Reply;
+use zinnia_plan::TaskId;
 use zinnia_raft::Entry;
 use zinnia_raft::Message;
 use zinnia_raft::Payload;
@@ -218,13 +219,10 @@
             leader.ends_acked(worker, now);
         }
         (Record::AddIncarnation { incarnation, .. }, Reply::Added { given_up }) => {
-            metrics::counter!("zinnia_given_up_jobs_total").increment(given_up.len() as u64);
-            for task in given_up {
-                tracing::warn!(
-                    event = "give_up", task = %task, worker = incarnation.worker,
-                    "job is given up: too many workers crashed under one of its tasks"
-                );
-            }
+            log_given_up(&incarnation.worker, given_up);
+        }
+        (Record::Replaced { worker, .. }, Reply::Replaced { given_up }) => {
+            log_given_up(worker, given_up);
         }
         (Record::Release(list), _) => {
             metrics::counter!("zinnia_voids_total").increment(list.len() as u64);
@@ -235,3 +233,13 @@
         _ => {}
     }
 }
+
+fn log_given_up(worker: &str, given_up: &[TaskId]) {
+    metrics::counter!("zinnia_given_up_jobs_total").increment(given_up.len() as u64);
+    for task in given_up {
+        tracing::warn!(
+            event = "give_up", task = %task, worker,
+            "job is given up: too many workers crashed under one of its tasks"
+        );
+    }
+}
--- a/crates/zinnia-control/src/transport.rs
+++ b/crates/zinnia-control/src/transport.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use zinnia_plan::Poll;
-use zinnia_plan::Report;
+use zinnia_plan::PollAnswer;
 use zinnia_plan::RunOrder;
 use zinnia_plan::StartOrder;
 use zinnia_plan::StartOutcome;
@@ -27,8 +27,8 @@
     pub start: TransportCall<StartOrder, StartOutcome>,
     /// Stops a run; returns whether the worker answered.
     pub stop: TransportCall<RunOrder, bool>,
-    /// Polls a worker for its runs and renews its lease; `None` without a valid answer.
-    pub poll: TransportCall<Poll, Option<Report>>,
+    /// Polls a worker for its runs and renews its lease.
+    pub poll: TransportCall<Poll, PollAnswer>,
     /// Queries the policy for the workers that may run a step.
     pub query_policy: TransportCall<(StepId, Vec<String>), PolicyTickets>,
 }
--- a/crates/zinnia-control/tests/common/mod.rs
+++ b/crates/zinnia-control/tests/common/mod.rs
@@ -30,6 +30,7 @@
 use zinnia_plan::Heartbeat;
 use zinnia_plan::Incarnation;
 use zinnia_plan::JobSpec;
+use zinnia_plan::PollAnswer;
 use zinnia_plan::Pool;
 use zinnia_plan::Queue;
 use zinnia_plan::Report;
@@ -116,7 +117,7 @@
                 tokio::time::sleep(Duration::from_millis(20)).await;
                 let mut worker = worker.lock().expect("a lock");
                 if poll.fence < worker.fence {
-                    return None;
+                    return PollAnswer::None;
                 }
                 worker.fence = poll.fence;
                 worker.end_due_runs();
@@ -127,7 +128,7 @@
                     percent: 10,
                     load: 0,
                 };
-                Some(Report {
+                PollAnswer::Report(Report {
                     born: Some(1),
                     clock_ms: clock_ms(origin),
                     running: worker.running.keys().map(row).collect(),
--- a/crates/zinnia-control/tests/deregistration.rs
+++ b/crates/zinnia-control/tests/deregistration.rs
@@ -29,6 +29,7 @@
 use zinnia_plan::Heartbeat;
 use zinnia_plan::Incarnation;
 use zinnia_plan::JobSpec;
+use zinnia_plan::PollAnswer;
 use zinnia_plan::Report;
 use zinnia_plan::Resources;
 use zinnia_plan::StartOutcome;
@@ -108,7 +109,7 @@
                 let mut fleet = fleet.lock().expect("a lock");
                 let runs = fleet.workers.entry(poll.worker).or_default();
                 if runs.is_gone {
-                    return None;
+                    return PollAnswer::None;
                 }
                 let row = |&(task, run): &(TaskId, u32)| ActiveRun {
                     task,
@@ -118,7 +119,7 @@
                     load: 0,
                 };
                 let is_new = |e: &&End| e.number > poll.acked_end;
-                Some(Report {
+                PollAnswer::Report(Report {
                     born: Some(poll.born),
                     clock_ms: clock_ms(origin),
                     running: runs.running.iter().map(row).collect(),
--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -64,6 +64,7 @@
 pub use plan::ExpiredLease;
 pub use plan::Plan;
 pub use plan::Poll;
+pub use plan::PollAnswer;
 pub use plan::RunOrder;
 pub use plan::Settings;
 pub use plan::SilentWorker;
--- a/crates/zinnia-plan/src/plan.rs
+++ b/crates/zinnia-plan/src/plan.rs
@@ -6,6 +6,7 @@
 use crate::PolicyQuery;
 use crate::QueryBudget;
 use crate::Record;
+use crate::Report;
 use crate::Start;
 use crate::TaskId;
 use crate::WaitingSteps;
@@ -75,6 +76,17 @@
     Unknown,
 }
 
+/// Answer to a poll.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PollAnswer {
+    /// The polled worker answered.
+    Report(Report),
+    /// Another worker answered at the address.
+    OtherWorker,
+    /// No valid answer arrived.
+    None,
+}
+
 /// A long poll that asks a worker for the state of its runs and renews its lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Poll {
--- a/crates/zinnia-plan/src/polls.rs
+++ b/crates/zinnia-plan/src/polls.rs
@@ -128,6 +128,32 @@
         records
     }
 
+    /// Processes the answer of another worker to a poll; returns the record to propose.
+    ///
+    /// Only one process can listen on an address, so the polled incarnation has ended, and its runs with it. A
+    /// heartbeat with the same address does not show that, since it may come from another writer. Nor does the
+    /// answer if the polled incarnation is only known from such a heartbeat: the runs are those of an earlier
+    /// one, which may have another address.
+    pub fn poll_misdirected(&mut self, state: &State, poll: &Poll, now: Time) -> Option<Record> {
+        let worker = state.workers.get(&poll.worker)?;
+        let view = self.views.get_mut(&poll.worker)?;
+        if view.born != poll.born || worker.incarnation.born != poll.born {
+            return None;
+        }
+        let was_here = worker.replaced_ms.is_none() || worker.answer_entry.is_some();
+        if !was_here && view.confirmed_fence == 0 && !worker.runs.is_empty() {
+            let records = self.poll_answered(state, poll, None, now);
+            debug_assert!(records.is_empty(), "a failed poll results in no records");
+            return None;
+        }
+        view.close_poll();
+        view.next_poll = now.after(self.settings.retry_ms);
+        Some(Record::Replaced {
+            worker: poll.worker.clone(),
+            born: poll.born,
+        })
+    }
+
     /// Makes the next poll of a worker due, after its run ends were stored.
     pub fn ends_acked(&mut self, worker: &str, now: Time) {
         if let Some(view) = self.views.get_mut(worker) {
--- a/crates/zinnia-plan/src/record.rs
+++ b/crates/zinnia-plan/src/record.rs
@@ -151,7 +151,15 @@
         /// Start time of the incarnation.
         born: i64,
     },
-    /// Marks an incarnation as ended: it is certain that none of its runs continues.
+    /// Marks an incarnation as ended because another worker answers at its address: none of its runs continues.
+    Replaced {
+        /// Name of the worker.
+        worker: String,
+        /// Start time of the incarnation.
+        born: i64,
+    },
+    /// Marks an incarnation as ended: it is certain that none of its runs continues. Only in logs of earlier
+    /// builds, which took a deregistration for the end.
     #[serde(rename = "left")]
     EndIncarnation {
         /// Name of the worker.
@@ -264,6 +272,11 @@
         /// Tasks whose jobs are given up because too many workers have crashed under them.
         given_up: Vec<TaskId>,
     },
+    /// The incarnation is marked as ended.
+    Replaced {
+        /// Tasks whose jobs are given up because too many workers have crashed under them.
+        given_up: Vec<TaskId>,
+    },
     /// The starts that the state allowed; the others are dropped.
     Started(Vec<Start>),
     /// The job id belongs to another queue or team.
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -189,6 +189,15 @@
                 self.deregister(worker, *born);
                 Reply::Done
             }
+            Record::Replaced { worker, born } => {
+                let is_current = |w: &Worker| w.incarnation.born == *born;
+                let given_up = match self.workers.get(worker).is_some_and(is_current) {
+                    true => self.record_crash(worker),
+                    false => Vec::new(),
+                };
+                self.end_incarnation(worker, *born);
+                Reply::Replaced { given_up }
+            }
             Record::EndIncarnation { worker, born } => {
                 self.end_incarnation(worker, *born);
                 Reply::Done
@@ -298,23 +307,7 @@
         if old.is_some_and(|w| w.incarnation.born >= incarnation.born) {
             return Vec::new();
         }
-        let mut given_up = self.record_crash(&incarnation.worker);
-        // Only one process can listen on an address, so an older worker with the same address has
-        // ended.
-        let same_addr = |w: &&Worker| {
-            let other = w.incarnation.worker != incarnation.worker && !w.left;
-            other && w.incarnation.addr == incarnation.addr && w.incarnation.born < incarnation.born
-        };
-        let ended: Vec<(String, i64)> = self
-            .workers
-            .values()
-            .filter(same_addr)
-            .map(|w| (w.incarnation.worker.clone(), w.incarnation.born))
-            .collect();
-        for (worker, born) in ended {
-            given_up.extend(self.record_crash(&worker));
-            self.end_incarnation(&worker, born);
-        }
+        let given_up = self.record_crash(&incarnation.worker);
         // Orders to the previous incarnation may have reached this one. Its runs stay assigned
         // until the worker has reported which of them are active.
         let previous = self.workers.remove(&incarnation.worker);
@@ -365,6 +358,7 @@
         (current.incarnation.born == born && current.left).then_some(current.runs.len())
     }
 
+    /// Marks an incarnation as ended and releases its runs.
     fn end_incarnation(&mut self, worker: &str, born: i64) {
         let Some(current) = self.workers.get_mut(worker) else {
             return;
--- a/crates/zinnia-plan/tests/crash.rs
+++ b/crates/zinnia-plan/tests/crash.rs
@@ -178,7 +178,7 @@
 }
 
 /// Guards against a worker that returns under another name at the same address, whose crash does not
-/// count.
+/// count. The crash is known once the new worker has answered a poll of the earlier one.
 #[test]
 fn crashes_of_renamed_workers_count() {
     let mut sim = Simulation::new(document(None));
@@ -194,6 +194,8 @@
         sim.apply(Record::Start(vec![start(task(0), run, &worker, born)]));
         sim.now += RETURN_MS;
         sim.apply(register(named(born + 1)));
+        assert_eq!(status(&sim, 1), Status::Open, "a heartbeat shows no crash");
+        sim.apply(Record::Replaced { worker, born });
     }
     assert_eq!(status(&sim, 1), Status::Failed);
 }
--- a/crates/zinnia-plan/tests/documents.rs
+++ b/crates/zinnia-plan/tests/documents.rs
@@ -1,5 +1,7 @@
 //! Jobs that meet a document which is no longer the one that admitted them.
 
+#![expect(clippy::expect_used, reason = "a test must stop if its setup fails")]
+
 mod common;
 
 use std::collections::BTreeMap;
