plan, sched: the life of incarnations, and the documents of the scheduler's tests, in files of their own

The functions are moved as they are; `replace_incarnation` has a name of its own. No change of behaviour: the tests of both crates pass.

--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -15,6 +15,7 @@
 mod gang;
 mod headroom;
 mod heartbeat;
+mod incarnations;
 mod inherited;
 mod job;
 mod leader;
