--- /dev/null
+++ b/review/stand-ins-2/src/cases.rs
@@ -0,0 +1,338 @@
+//! The cases. Each returns what was broken, or why it could not run.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::cell::CannotRun;
+use crate::cell::Cell;
+use crate::cell::config;
+use crate::http;
+use crate::json::Json;
+use crate::record::Record;
+
+type Verdict = Result<Vec<String>, CannotRun>;
+
+/// A worker of medium size.
+const SIZE: (u64, u64, u64) = (16_000, 32_768, 8);
+/// A job of one short task.
+const SHORT_JOB: &str =
+    r#"{"spec":"ms=300","steps":[{"count":1,"cpu":1000,"memMb":512,"estimateMs":300}]}"#;
+
+pub fn play(name: &str, record: &Record, trouble: bool) -> Verdict {
+    match name {
+        "replace" => replace(record, trouble),
+        "gang" => gang(record, trouble),
+        "crash" => crash(record, trouble),
+        "writer" => writer(record, trouble),
+        "pending" => pending(record, trouble),
+        _ => Err(format!("there is no case {name}")),
+    }
+}
+
+fn wait(seconds: f64) {
+    thread::sleep(Duration::from_secs_f64(seconds));
+}
+
+/// A cell of three machines of the core and two fronts, with a configuration and workers.
+fn small_cell(record: &Record, workers: &[(&str, &[&str])]) -> Result<Cell, CannotRun> {
+    let mut cell = Cell::start(record, 3, 2)?;
+    cell.publish(&config(1, 0), Duration::from_secs(15))?;
+    record.line("operator: configuration 1 is acknowledged");
+    for (i, (id, labels)) in workers.iter().enumerate() {
+        let args = cell.worker_args(id, 201 + i, labels, SIZE);
+        cell.start_worker(args)?;
+    }
+    cell.warm_up("plan", "aaaaaaaaaaaaaaaa", SHORT_JOB)?;
+    wait(2.0);
+    Ok(cell)
+}
+
+/// Two machines of the core are replaced as planned: their successors are up for long before they leave.
+fn replace(record: &Record, trouble: bool) -> Verdict {
+    const CATCH_UP: f64 = 4.0;
+    const RECOVERY_S: f64 = 12.0;
+    let workers: [(&str, &[&str]); 2] = [("i-1", &["a", "r1"]), ("i-2", &["a", "r2"])];
+    let mut cell = small_cell(record, &workers)?;
+    cell.publish(&config(2, 0), Duration::from_secs(5))?;
+    record.line("operator: configuration 2 is acknowledged");
+    let job = "b000000000000001";
+    if !cell.submit("plan", job, SHORT_JOB) {
+        return Err("the job is not accepted".to_owned());
+    }
+    let successors = [
+        cell.add_machine("core-4", 4, true),
+        cell.add_machine("core-5", 5, true),
+    ];
+    for index in successors {
+        cell.launch(index, false)?;
+    }
+    // More than twice the time that the pages give a new machine to catch up.
+    wait(CATCH_UP * 2.5);
+    if trouble {
+        cell.terminate(1);
+        wait(3.0);
+        cell.terminate(2);
+    }
+    wait(RECOVERY_S);
+    let started = record.seconds();
+    let (mut reads, mut jobs) = (0, 0);
+    while record.seconds() - started < 40.0 {
+        for addr in cell.control() {
+            let answer = cell.read_config(&addr);
+            record.line(&format!("operator: GET config at {addr} -> {answer}"));
+            reads += usize::from(answer == "200 version 2");
+        }
+        let state = cell.state("plan", job);
+        record.line(&format!("client: GET /plan/{job} -> {state}"));
+        jobs += usize::from(state == "completed");
+        if reads > 2 && jobs > 2 {
+            break;
+        }
+        wait(1.0);
+    }
+    let mut broken = Vec::new();
+    if reads == 0 {
+        broken.push("CONFIG: acknowledged configuration 2 was never read back".to_owned());
+    }
+    if jobs == 0 {
+        broken.push(format!("LOST: accepted job {job} got no answer in time"));
+    }
+    Ok(broken)
+}
+
+/// Among ordinary jobs comes a gang that needs more accelerators than the service has.
+fn gang(record: &Record, trouble: bool) -> Verdict {
+    const FINISH_S: f64 = 14.0;
+    let workers: [(&str, &[&str]); 3] = [
+        ("i-1", &["a", "r1"]),
+        ("i-2", &["a", "r2"]),
+        ("i-3", &["a", "r3"]),
+    ];
+    let cell = small_cell(record, &workers)?;
+    let hopeless = r#"{"spec":"ms=5600","steps":[{"count":4,"cpu":15000,"memMb":24000,"gpu":8,"estimateMs":5600,"gang":true}]}"#;
+    let ordinary = r#"{"spec":"ms=3000","steps":[{"count":1,"cpu":2800,"memMb":8200,"gpu":1,"estimateMs":3000}]}"#;
+    let mut jobs = Vec::new();
+    // One job in 20 can never be done; the traffic lasts for 3 s.
+    for i in 0..20 {
+        if i == 0 && trouble {
+            cell.submit("plan", "c000000000000bad", hopeless);
+            // The other clients come when it has waited for a moment.
+            wait(0.6);
+            continue;
+        }
+        let job = format!("c0000000000000{i:02}");
+        if cell.submit("plan", &job, ordinary) {
+            jobs.push(job);
+        }
+        wait(0.12);
+    }
+    record.line("client: end of the traffic");
+    wait(FINISH_S);
+    let is_idle = || workers.iter().all(|(id, _)| cell.running_on(id).is_empty());
+    let is_waiting = |job: &String| {
+        cell.count(job, "start") == 0
+            && matches!(cell.state("plan", job).as_str(), "queued" | "running")
+    };
+    // Those that wait all the time while the service is idle.
+    let mut waiting = jobs.clone();
+    let mut waited = 0.0;
+    let started = record.seconds();
+    while record.seconds() - started < 60.0 && !waiting.is_empty() {
+        waiting.retain(is_waiting);
+        if !is_idle() {
+            waiting.clear();
+        }
+        waited = record.seconds() - started;
+        record.line(&format!(
+            "{} of {} accepted jobs wait, with nothing running, for {waited:.1} s; all workers are idle: {}",
+            waiting.len(), jobs.len(), is_idle()
+        ));
+        if waited < 3.5 { wait(0.5) } else { wait(5.0) }
+    }
+    let mut broken = Vec::new();
+    if !waiting.is_empty() && waited > 3.0 {
+        broken.push(format!(
+            "LOST: {} accepted jobs have nothing running for {waited:.0} s, from 14 s after the traffic, while all workers are idle",
+            waiting.len()
+        ));
+    }
+    Ok(broken)
+}
+
+/// One worker of ten goes down and up by turns for 6.5 s while it runs jobs that only it may run.
+fn crash(record: &Record, trouble: bool) -> Verdict {
+    const FLAP_S: f64 = 6.5;
+    const PERIOD_S: f64 = 1.4;
+    let mut workers: Vec<(String, [&str; 2])> = (1..=9)
+        .map(|i| {
+            (
+                format!("i-{i}"),
+                ["a", if i % 2 == 0 { "r1" } else { "r2" }],
+            )
+        })
+        .collect();
+    workers.push(("i-10".to_owned(), ["b", "r3"]));
+    let list: Vec<(&str, &[&str])> = workers
+        .iter()
+        .map(|(id, l)| (id.as_str(), l.as_slice()))
+        .collect();
+    let mut cell = small_cell(record, &list)?;
+    let flapping = 9;
+    let finite = "d000000000000001";
+    let lasting = "d000000000000002";
+    let finite_job = r#"{"spec":"ms=3000","steps":[{"count":1,"cpu":2000,"memMb":1024,"estimateMs":3000,"requiredLabel":"b"}]}"#;
+    let lasting_job = r#"{"spec":"serves","steps":[{"count":1,"cpu":2000,"memMb":1024,"estimateMs":500,"requiredLabel":"b","longRunning":true}]}"#;
+    for (job, body) in [(finite, finite_job), (lasting, lasting_job)] {
+        if !cell.submit("plan", job, body) {
+            return Err("a job is not accepted".to_owned());
+        }
+    }
+    wait(1.0);
+    let began = record.seconds();
+    while trouble && record.seconds() - began < FLAP_S {
+        cell.kill_worker(flapping);
+        wait(PERIOD_S / 2.0);
+        let args = cell.workers[flapping].args.clone();
+        cell.start_worker(args)?;
+        wait(PERIOD_S / 2.0);
+    }
+    record.line("the worker stays up from now on");
+    let mut states = (String::new(), String::new());
+    let end = Instant::now() + Duration::from_secs(25);
+    while Instant::now() < end {
+        states = (cell.state("plan", finite), cell.state("plan", lasting));
+        record.line(&format!(
+            "client: GET {finite} -> {}, GET {lasting} -> {}",
+            states.0, states.1
+        ));
+        if matches!(states.0.as_str(), "completed" | "failed") {
+            break;
+        }
+        wait(1.0);
+    }
+    let mut broken = Vec::new();
+    for (job, state) in [(finite, &states.0), (lasting, &states.1)] {
+        let failed = cell.count(job, "failed");
+        record.line(&format!(
+            "job {job}: shown as {state}; {} starts, {} runs lost with their worker, {failed} ends `failed`",
+            cell.count(job, "start"), cell.count(job, "killed"),
+        ));
+        if state == "failed" && failed == 0 {
+            broken.push(format!(
+                "LOST: accepted job {job} is shown as failed, and no run of it has ended `failed`"
+            ));
+        }
+    }
+    Ok(broken)
+}
+
+/// Another writer sends a heartbeat of a service that is not named, under the ids of the workers.
+fn writer(record: &Record, trouble: bool) -> Verdict {
+    const FINISH_S: f64 = 14.0;
+    let workers: [(&str, &[&str]); 2] = [("i-1", &["a", "r1"]), ("i-2", &["a", "r2"])];
+    let cell = small_cell(record, &workers)?;
+    let born = std::time::SystemTime::UNIX_EPOCH
+        .elapsed()
+        .map_err(|e| e.to_string())?
+        .as_millis();
+    if trouble {
+        for (i, (id, _)) in workers.iter().enumerate() {
+            let body = format!(
+                r#"{{"service":"kiosk","address":"{}","zone":"zone-a","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,"capacity":{{"cpu":4000,"memMb":8192,"gpu":0}},"labels":["a","r9"],"clockMs":1000,"sequence":1,"born":{born}}}"#,
+                cell.server_addr(240 + i),
+            );
+            let to = &cell.control()[0];
+            let path = format!("/-/instances/{id}/heartbeat");
+            let answer = http::send(to, "POST", &path, &[], &body, Duration::from_secs(1));
+            let status = answer.map(|(status, _)| status);
+            record.line(&format!("other writer: POST {path} {body} -> {status:?}"));
+        }
+    }
+    wait(1.0);
+    let mut jobs = Vec::new();
+    for i in 0..10 {
+        let job = format!("e0000000000000{i:02}");
+        if cell.submit("plan", &job, SHORT_JOB) {
+            jobs.push(job);
+        }
+        wait(0.2);
+    }
+    if jobs.is_empty() {
+        return Err("no job is accepted".to_owned());
+    }
+    record.line("client: end of the traffic");
+    wait(FINISH_S);
+    let mut waiting = jobs.clone();
+    for _ in 0..7 {
+        waiting.retain(|j| cell.count(j, "start") == 0 && cell.state("plan", j) == "queued");
+        record.line(&format!(
+            "{} of {} accepted jobs wait; no worker runs anything: {}",
+            waiting.len(),
+            jobs.len(),
+            workers.iter().all(|(id, _)| cell.running_on(id).is_empty())
+        ));
+        wait(0.5);
+    }
+    let mut broken = Vec::new();
+    if !waiting.is_empty() {
+        broken.push(format!(
+            "LOST: {} accepted jobs have nothing running for 3 s, 14 s after the traffic, while both workers of their service are up and idle",
+            waiting.len()
+        ));
+    }
+    Ok(broken)
+}
+
+/// The only worker with a label falls silent for good; jobs that need the label are accepted and do not begin.
+fn pending(record: &Record, trouble: bool) -> Verdict {
+    const VISIBLE_S: f64 = 3.0;
+    let mut workers: Vec<(String, [&str; 2])> = (1..=9)
+        .map(|i| {
+            (
+                format!("i-{i}"),
+                ["a", if i % 2 == 0 { "r1" } else { "r2" }],
+            )
+        })
+        .collect();
+    workers.push(("i-10".to_owned(), ["b", "r3"]));
+    let list: Vec<(&str, &[&str])> = workers
+        .iter()
+        .map(|(id, l)| (id.as_str(), l.as_slice()))
+        .collect();
+    let mut cell = small_cell(record, &list)?;
+    if trouble {
+        cell.stop_worker(9);
+    }
+    let body = r#"{"spec":"ms=500","steps":[{"count":1,"cpu":2000,"memMb":1024,"estimateMs":500,"requiredLabel":"b"}]}"#;
+    let mut jobs = Vec::new();
+    for i in 0..5 {
+        let job = format!("f0000000000000{i:02}");
+        if cell.submit("plan", &job, body) {
+            jobs.push(job);
+        }
+    }
+    wait(VISIBLE_S + 2.0 + 1.0);
+    let mut wrong = 0;
+    for _ in 0..5 {
+        let not_begun = jobs.iter().filter(|j| cell.count(j, "start") == 0).count();
+        let answer = cell.call("jobs.example", "GET", "/plan/", "");
+        let states: Vec<String> = jobs.iter().map(|j| cell.state("plan", j)).collect();
+        record.line(&format!(
+            "client: GET /plan/ -> {answer:?}; {not_begun} jobs have not begun; shown as {states:?}"
+        ));
+        let pending = answer.and_then(|(status, body)| match status {
+            200 => Json::parse(&body)?.get("pending")?.as_u64(),
+            _ => None,
+        });
+        wrong += usize::from(pending.is_some_and(|p| 2 * p < not_begun as u64));
+        wait(1.0);
+    }
+    let mut broken = Vec::new();
+    if wrong > 0 {
+        broken.push(format!(
+            "MIXED: {wrong} of 5 answers give under half of the jobs as pending that were accepted over 5 s before and have not begun"
+        ));
+    }
+    Ok(broken)
+}
