Review: a cancelled job runs when its submission arrives late (case 9)

Rule UNASKED: a worker starts a task 3.7 s after the job's cancelling was acknowledged, and it runs on.

Fault: the cancelling of an unknown job leaves no trace, and requests between processes have no deadline.

The former case 9 (jobs shown as failed after crashes of a worker) is dropped: review/4 shows the same fault. Its driver goes with it.

--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -1,8 +1,8 @@
 //! The cases. Each returns what was broken, or why it could not run.
 
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 
 use crate::cell::CannotRun;
 use crate::cell::Cell;
@@ -23,9 +23,9 @@
     match name {
         "replace" => replace(record, trouble),
         "gang" => gang(record, trouble),
-        "crash" => crash(record, trouble),
         "writer" => writer(record, trouble),
         "pending" => pending(record, trouble),
+        "cancel" => cancel(record, trouble),
         _ => Err(format!("there is no case {name}")),
     }
 }
@@ -36,7 +36,17 @@
 
 /// A cell of three machines of the core and two fronts, with a configuration and workers.
 fn small_cell(record: &Record, workers: &[(&str, &[&str])]) -> Result<Cell, CannotRun> {
-    let mut cell = Cell::start(record, 3, 2)?;
+    start_cell(record, workers, 2, false)
+}
+
+/// The same with this number of fronts, and with proxies between the processes if one is to be cut off.
+fn start_cell(
+    record: &Record,
+    workers: &[(&str, &[&str])],
+    fronts: usize,
+    proxied: bool,
+) -> Result<Cell, CannotRun> {
+    let mut cell = Cell::start(record, 3, fronts, proxied)?;
     cell.publish(&config(1, 0), Duration::from_secs(15))?;
     record.line("operator: configuration 1 is acknowledged");
     for (i, (id, labels)) in workers.iter().enumerate() {
@@ -160,73 +170,6 @@
     Ok(broken)
 }
 
-/// One worker of ten goes down and up by turns for 6.5 s while it runs jobs that only it may run.
-fn crash(record: &Record, trouble: bool) -> Verdict {
-    const FLAP_S: f64 = 6.5;
-    const PERIOD_S: f64 = 1.4;
-    let mut workers: Vec<(String, [&str; 2])> = (1..=9)
-        .map(|i| {
-            (
-                format!("i-{i}"),
-                ["a", if i % 2 == 0 { "r1" } else { "r2" }],
-            )
-        })
-        .collect();
-    workers.push(("i-10".to_owned(), ["b", "r3"]));
-    let list: Vec<(&str, &[&str])> = workers
-        .iter()
-        .map(|(id, l)| (id.as_str(), l.as_slice()))
-        .collect();
-    let mut cell = small_cell(record, &list)?;
-    let flapping = 9;
-    let finite = "d000000000000001";
-    let lasting = "d000000000000002";
-    let finite_job = r#"{"spec":"ms=3000","steps":[{"count":1,"cpu":2000,"memMb":1024,"estimateMs":3000,"requiredLabel":"b"}]}"#;
-    let lasting_job = r#"{"spec":"serves","steps":[{"count":1,"cpu":2000,"memMb":1024,"estimateMs":500,"requiredLabel":"b","longRunning":true}]}"#;
-    for (job, body) in [(finite, finite_job), (lasting, lasting_job)] {
-        if !cell.submit("plan", job, body) {
-            return Err("a job is not accepted".to_owned());
-        }
-    }
-    wait(1.0);
-    let began = record.seconds();
-    while trouble && record.seconds() - began < FLAP_S {
-        cell.kill_worker(flapping);
-        wait(PERIOD_S / 2.0);
-        let args = cell.workers[flapping].args.clone();
-        cell.start_worker(args)?;
-        wait(PERIOD_S / 2.0);
-    }
-    record.line("the worker stays up from now on");
-    let mut states = (String::new(), String::new());
-    let end = Instant::now() + Duration::from_secs(25);
-    while Instant::now() < end {
-        states = (cell.state("plan", finite), cell.state("plan", lasting));
-        record.line(&format!(
-            "client: GET {finite} -> {}, GET {lasting} -> {}",
-            states.0, states.1
-        ));
-        if matches!(states.0.as_str(), "completed" | "failed") {
-            break;
-        }
-        wait(1.0);
-    }
-    let mut broken = Vec::new();
-    for (job, state) in [(finite, &states.0), (lasting, &states.1)] {
-        let failed = cell.count(job, "failed");
-        record.line(&format!(
-            "job {job}: shown as {state}; {} starts, {} runs lost with their worker, {failed} ends `failed`",
-            cell.count(job, "start"), cell.count(job, "killed"),
-        ));
-        if state == "failed" && failed == 0 {
-            broken.push(format!(
-                "LOST: accepted job {job} is shown as failed, and no run of it has ended `failed`"
-            ));
-        }
-    }
-    Ok(broken)
-}
-
 /// Another writer sends a heartbeat of a service that is not named, under the ids of the workers.
 fn writer(record: &Record, trouble: bool) -> Verdict {
     const FINISH_S: f64 = 14.0;
@@ -336,3 +279,59 @@
     }
     Ok(broken)
 }
+
+/// The links of a front are cut for some seconds; a client gives up on a job there and cancels it at another.
+fn cancel(record: &Record, trouble: bool) -> Verdict {
+    const CUT_S: f64 = 4.0;
+    const CANCEL_S: f64 = 3.0;
+    const STOP_S: f64 = 0.9;
+    let workers: [(&str, &[&str]); 2] = [("i-1", &["a", "r1"]), ("i-2", &["a", "r2"])];
+    let cell = start_cell(record, &workers, 7, true)?;
+    let Some(held) = cell.held.clone() else {
+        return Err("no proxies".to_owned());
+    };
+    let fronts = cell.frontends();
+    let body =
+        r#"{"spec":"ms=9000","steps":[{"count":1,"cpu":2000,"memMb":1024,"estimateMs":9000}]}"#;
+    let job = "ab00000000000001";
+    let path = format!("/plan/{job}");
+    if trouble {
+        record.line("disruption: front-1 is cut from the core");
+        held.store(true, Ordering::Relaxed);
+    }
+    let cut_at = record.seconds();
+    let posted = cell.call_at(&fronts[0], "POST", &path, body, Duration::from_millis(250));
+    record.line(&format!(
+        "client: POST {path} at front-1 -> {posted:?}; it waits for 0.25 s"
+    ));
+    let cancelled = cell.call_at(&fronts[1], "DELETE", &path, "", Duration::from_secs(3));
+    let acked_at = record.seconds();
+    record.line(&format!(
+        "client: DELETE {path} at front-2 -> {cancelled:?}"
+    ));
+    if trouble {
+        wait(CUT_S - (record.seconds() - cut_at));
+        record.line("disruption: front-1 reaches the core again");
+        held.store(false, Ordering::Relaxed);
+    }
+    let end = acked_at + CANCEL_S + STOP_S + 3.0;
+    while record.seconds() < end {
+        wait(0.1);
+    }
+    let running: Vec<_> = workers
+        .iter()
+        .flat_map(|(id, _)| cell.running_on(id))
+        .collect();
+    let state = cell.state("plan", job);
+    let since = record.seconds() - acked_at;
+    record.line(&format!(
+        "{since:.1} s after the DELETE was answered: running {running:?}, shown as {state}"
+    ));
+    let mut broken = Vec::new();
+    if matches!(cancelled, Some((200..=299 | 410, _))) && !running.is_empty() {
+        broken.push(format!(
+            "UNASKED: a task of job {job} runs {since:.1} s after its cancelling was acknowledged"
+        ));
+    }
+    Ok(broken)
+}
--- a/review/stand-ins-2/src/cell.rs
+++ b/review/stand-ins-2/src/cell.rs
@@ -11,6 +11,7 @@
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,6 +20,7 @@
 use crate::http::Answer;
 use crate::json::Json;
 use crate::json::quote;
+use crate::proxy;
 use crate::record::Record;
 use crate::worker;
 
@@ -31,6 +33,8 @@
 const METRICS_PORT: u16 = 7_195;
 const WORKER_PORT: u16 = 8_080;
 const POLICY_PORT: u16 = 8_683;
+/// Difference between the address of a proxy and that of the machine behind it.
+const PROXY_OFFSET: usize = 50;
 /// API key of the only tenant.
 pub const KEY: &str = "3hh2b9wu3fexd9dnn2ct";
 
@@ -44,6 +48,8 @@
 pub struct Process {
     pub name: String,
     pub ip: String,
+    /// Number of the address in the case's network.
+    pub host: usize,
     /// Whether it is on a machine of the core; otherwise it serves callers.
     pub core: bool,
     pub child: Option<Child>,
@@ -53,7 +59,7 @@
 #[derive(Clone, Debug)]
 pub struct Event {
     pub worker: String,
-    /// `start`, or how the run ended; `killed` if its worker was killed.
+    /// `start`, or how the run ended.
     pub what: String,
     pub task: String,
     pub run: u64,
@@ -72,6 +78,8 @@
     pub processes: Vec<Process>,
     pub workers: Vec<WorkerProcess>,
     pub events: Arc<Mutex<Vec<Event>>>,
+    /// Whether the connections of the first front to the core are held up; `None` without proxies.
+    pub held: Option<Arc<AtomicBool>>,
 }
 
 impl Drop for Cell {
@@ -124,7 +132,12 @@
 
 impl Cell {
     /// Starts `core` machines with disks and `front` ones without, all for the first time.
-    pub fn start(record: &Record, core: usize, front: usize) -> Result<Self, CannotRun> {
+    pub fn start(
+        record: &Record,
+        core: usize,
+        front: usize,
+        proxied: bool,
+    ) -> Result<Self, CannotRun> {
         if !std::path::Path::new(PROGRAM).exists() {
             return Err(format!("{PROGRAM} is not built"));
         }
@@ -138,6 +151,7 @@
             processes: Vec::new(),
             workers: Vec::new(),
             events: Arc::default(),
+            held: proxied.then(Arc::default),
         };
         for i in 0..core {
             cell.add_machine(&format!("core-{}", i + 1), i + 1, true);
@@ -145,6 +159,15 @@
         for i in 0..front {
             cell.add_machine(&format!("front-{}", i + 1), 101 + i, false);
         }
+        if let Some(held) = &cell.held {
+            for i in 1..=core {
+                let listen = format!("{}.{}:{PEER_PORT}", cell.net, i + PROXY_OFFSET);
+                let listener = TcpListener::bind(listen).map_err(|e| e.to_string())?;
+                let upstream = format!("{}.{i}:{PEER_PORT}", cell.net);
+                let sender = format!("{}.101:{PEER_PORT}", cell.net);
+                proxy::start(listener, upstream, sender, Arc::clone(held));
+            }
+        }
         for i in 0..cell.processes.len() {
             cell.launch(i, true)?;
         }
@@ -156,6 +179,7 @@
         self.processes.push(Process {
             name: name.to_owned(),
             ip: format!("{}.{host}", self.net),
+            host,
             core,
             child: None,
         });
@@ -165,9 +189,17 @@
     /// Renders the settings as `platform/node.jsonc` does.
     fn settings(&self, process: &Process, bootstrap: bool) -> String {
         let ip = &process.ip;
+        let proxied = |host: usize| match self.held {
+            Some(_) => host + PROXY_OFFSET,
+            None => host,
+        };
         let seeds: Vec<String> = (1..=3)
-            .map(|i| format!("\"{}.{i}:{CONTROL_PORT}\"", self.net))
+            .map(|i| format!("\"{}.{}:{CONTROL_PORT}\"", self.net, proxied(i)))
             .collect();
+        let advertised = match process.core {
+            true => format!("{}.{}", self.net, proxied(process.host)),
+            false => ip.clone(),
+        };
         let data = match process.core {
             true => quote(&self.data_dir(&process.name).to_string_lossy()),
             false => "null".to_owned(),
@@ -179,7 +211,7 @@
             ),
         };
         format!(
-            r#"{{"name":{},"domain":"zone-a","ip":"{ip}","ports":[{PEER_PORT},{METRICS_PORT}],"seeds":[{}],"bootstrap":{bootstrap},"data":{data},"listen":{listen},"policy":"{}.250:{POLICY_PORT}","tolerance":{{"machines":1,"zones":1,"regions":0}},"bounds":{BOUNDS}}}"#,
+            r#"{{"name":{},"domain":"zone-a","ip":"{advertised}","bind":"{ip}","ports":[{PEER_PORT},{METRICS_PORT}],"seeds":[{}],"bootstrap":{bootstrap},"data":{data},"listen":{listen},"policy":"{}.250:{POLICY_PORT}","tolerance":{{"machines":1,"zones":1,"regions":0}},"bounds":{BOUNDS}}}"#,
             quote(&process.name),
             seeds.join(","),
             self.net,
@@ -266,7 +298,7 @@
         format!("{}.{host}:{WORKER_PORT}", self.net)
     }
 
-    /// Starts a worker, or starts it again after a kill. Returns its index.
+    /// Starts a worker. Returns its index.
     pub fn start_worker(&mut self, args: worker::Args) -> Result<usize, CannotRun> {
         let this = std::env::current_exe().map_err(|e| e.to_string())?;
         let mut child = Command::new(this)
@@ -289,43 +321,11 @@
                 }
             }
         });
-        let index = self.workers.iter().position(|w| w.args.id == args.id);
-        let process = WorkerProcess {
+        self.workers.push(WorkerProcess {
             args,
             child: Some(child),
-        };
-        match index {
-            Some(index) => {
-                self.workers[index] = process;
-                Ok(index)
-            }
-            None => {
-                self.workers.push(process);
-                Ok(self.workers.len() - 1)
-            }
-        }
-    }
-
-    /// Kills a worker; all that it runs ends.
-    pub fn kill_worker(&mut self, index: usize) {
-        let worker = &mut self.workers[index];
-        if let Some(mut child) = worker.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        let id = worker.args.id.clone();
-        self.record
-            .line(&format!("disruption: SIGKILL to worker {id}"));
-        let running: Vec<(String, u64)> = self.running_on(&id);
-        let mut events = self.events.lock().unwrap_or_else(|e| e.into_inner());
-        for (task, run) in running {
-            events.push(Event {
-                worker: id.clone(),
-                what: "killed".to_owned(),
-                task,
-                run,
-            });
-        }
+        });
+        Ok(self.workers.len() - 1)
     }
 
     /// Stops a worker for good: it is silent, and its connections hang.
@@ -433,6 +433,24 @@
         last
     }
 
+    /// A request of a client at one frontend.
+    pub fn call_at(
+        &self,
+        addr: &str,
+        method: &str,
+        path: &str,
+        body: &str,
+        limit: Duration,
+    ) -> Option<Answer> {
+        let key = format!("Bearer {KEY}");
+        let headers = [
+            ("host", "jobs.example"),
+            ("authorization", key.as_str()),
+            ("x-zinniavalve-deadline-ms", "3000"),
+        ];
+        http::send(addr, method, path, &headers, body, limit).ok()
+    }
+
     /// Submits a job; returns whether it was accepted.
     pub fn submit(&self, route: &str, job: &str, body: &str) -> bool {
         let path = format!("/{route}/{job}");
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod cell;
 mod http;
 mod json;
+mod proxy;
 mod record;
 mod worker;
 
