Review: the core runs out of memory by changes of the configuration (case 7)

Rule Fault: processes on half of the core end three times, over their memory, with no disruption there.

Fault: the log is compacted by its number of entries, whatever their size; some 420 changes of a configuration of 350 KB take each machine of the core over 312 MB, and again after each restart.

It takes the place of the entry pending (MIXED), the least of the cases.

--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -3,12 +3,12 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::cell::CannotRun;
 use crate::cell::Cell;
 use crate::cell::config;
 use crate::http;
-use crate::json::Json;
 use crate::record::Record;
 
 type Verdict = Result<Vec<String>, CannotRun>;
@@ -24,8 +24,8 @@
         "replace" => replace(record, trouble),
         "gang" => gang(record, trouble),
         "writer" => writer(record, trouble),
-        "pending" => pending(record, trouble),
         "cancel" => cancel(record, trouble),
+        "memory" => memory(record, trouble),
         _ => Err(format!("there is no case {name}")),
     }
 }
@@ -227,59 +227,6 @@
     Ok(broken)
 }
 
-/// The only worker with a label falls silent for good; jobs that need the label are accepted and do not begin.
-fn pending(record: &Record, trouble: bool) -> Verdict {
-    const VISIBLE_S: f64 = 3.0;
-    let mut workers: Vec<(String, [&str; 2])> = (1..=9)
-        .map(|i| {
-            (
-                format!("i-{i}"),
-                ["a", if i % 2 == 0 { "r1" } else { "r2" }],
-            )
-        })
-        .collect();
-    workers.push(("i-10".to_owned(), ["b", "r3"]));
-    let list: Vec<(&str, &[&str])> = workers
-        .iter()
-        .map(|(id, l)| (id.as_str(), l.as_slice()))
-        .collect();
-    let mut cell = small_cell(record, &list)?;
-    if trouble {
-        cell.stop_worker(9);
-    }
-    let body = r#"{"spec":"ms=500","steps":[{"count":1,"cpu":2000,"memMb":1024,"estimateMs":500,"requiredLabel":"b"}]}"#;
-    let mut jobs = Vec::new();
-    for i in 0..5 {
-        let job = format!("f0000000000000{i:02}");
-        if cell.submit("plan", &job, body) {
-            jobs.push(job);
-        }
-    }
-    wait(VISIBLE_S + 2.0 + 1.0);
-    let mut wrong = 0;
-    for _ in 0..5 {
-        let not_begun = jobs.iter().filter(|j| cell.count(j, "start") == 0).count();
-        let answer = cell.call("jobs.example", "GET", "/plan/", "");
-        let states: Vec<String> = jobs.iter().map(|j| cell.state("plan", j)).collect();
-        record.line(&format!(
-            "client: GET /plan/ -> {answer:?}; {not_begun} jobs have not begun; shown as {states:?}"
-        ));
-        let pending = answer.and_then(|(status, body)| match status {
-            200 => Json::parse(&body)?.get("pending")?.as_u64(),
-            _ => None,
-        });
-        wrong += usize::from(pending.is_some_and(|p| 2 * p < not_begun as u64));
-        wait(1.0);
-    }
-    let mut broken = Vec::new();
-    if wrong > 0 {
-        broken.push(format!(
-            "MIXED: {wrong} of 5 answers give under half of the jobs as pending that were accepted over 5 s before and have not begun"
-        ));
-    }
-    Ok(broken)
-}
-
 /// The links of a front are cut for some seconds; a client gives up on a job there and cancels it at another.
 fn cancel(record: &Record, trouble: bool) -> Verdict {
     const CUT_S: f64 = 4.0;
@@ -335,3 +282,62 @@
     }
     Ok(broken)
 }
+
+/// Hundreds of changes of a configuration with many routes come in a cell with few jobs.
+fn memory(record: &Record, trouble: bool) -> Verdict {
+    /// Memory of a machine of the core (`memoryMb`).
+    const MEMORY_MB: u64 = 312;
+    /// Two series of changes, each with `gap_s` 0.33.
+    const GAP: Duration = Duration::from_millis(165);
+    const STORM_S: f64 = 100.0;
+    const MAX_CHANGES: u32 = 520;
+    let mut cell = small_cell(record, &[("i-1", &["a", "r1"])])?;
+    let routes = if trouble { 1_400 } else { 8 };
+    let (mut version, mut acked, mut changes, mut peak) = (1, 1, 0, 0);
+    let mut kills = [0; 3];
+    let began = record.seconds();
+    let is_broken = |kills: &[u32; 3]| kills.iter().filter(|n| **n >= 3).count() >= 2;
+    while record.seconds() - began < STORM_S && changes < MAX_CHANGES && !is_broken(&kills) {
+        let at = Instant::now();
+        version += 3;
+        match cell.publish(&config(version, routes), Duration::from_secs(1)) {
+            Ok(()) => acked = version,
+            Err(why) => record.line(&format!("operator: version {version}: {why}")),
+        }
+        changes += 1;
+        for index in 0..3 {
+            let used = cell.memory_mb(index);
+            peak = peak.max(used);
+            if used > MEMORY_MB {
+                kills[index] += 1;
+                record.line(&format!(
+                    "platform: {} uses {used} MB, more than {MEMORY_MB}, and is killed",
+                    cell.processes[index].name
+                ));
+                cell.restart_over_memory(index)?;
+            }
+        }
+        if changes % 50 == 0 {
+            record.line(&format!(
+                "operator: {changes} changes, version {acked} acknowledged; core-1 uses {} MB and {} MB of disk",
+                cell.memory_mb(0),
+                cell.disk_mb(0)
+            ));
+        }
+        thread::sleep(GAP.saturating_sub(at.elapsed()));
+    }
+    record.line(&format!("{changes} changes of {} bytes, the last acknowledged {acked}; peak {peak} MB; kills of the core {kills:?}", config(version, routes).len()));
+    for addr in cell.control() {
+        record.line(&format!(
+            "operator: GET config at {addr} -> {}",
+            cell.read_config(&addr)
+        ));
+    }
+    let mut broken = Vec::new();
+    if is_broken(&kills) {
+        broken.push(format!(
+            "Fault: processes on half of the core were over their memory three times: {kills:?}"
+        ));
+    }
+    Ok(broken)
+}
--- a/review/stand-ins-2/src/cell.rs
+++ b/review/stand-ins-2/src/cell.rs
@@ -35,6 +35,8 @@
 const POLICY_PORT: u16 = 8_683;
 /// Difference between the address of a proxy and that of the machine behind it.
 const PROXY_OFFSET: usize = 50;
+/// Delay after which the platform starts a process again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
 /// API key of the only tenant.
 pub const KEY: &str = "3hh2b9wu3fexd9dnn2ct";
 
@@ -65,18 +67,14 @@
     pub run: u64,
 }
 
-pub struct WorkerProcess {
-    pub args: worker::Args,
-    pub child: Option<Child>,
-}
-
 /// A deployment and what its workers did.
 pub struct Cell {
     pub record: Record,
     pub dir: PathBuf,
     pub net: String,
     pub processes: Vec<Process>,
-    pub workers: Vec<WorkerProcess>,
+    /// Worker processes.
+    pub workers: Vec<Child>,
     pub events: Arc<Mutex<Vec<Event>>>,
     /// Whether the connections of the first front to the core are held up; `None` without proxies.
     pub held: Option<Arc<AtomicBool>>,
@@ -84,7 +82,7 @@
 
 impl Drop for Cell {
     fn drop(&mut self) {
-        let workers = self.workers.iter_mut().filter_map(|w| w.child.as_mut());
+        let workers = self.workers.iter_mut();
         let processes = self.processes.iter_mut().filter_map(|p| p.child.as_mut());
         for child in workers.chain(processes) {
             let _ = child.kill();
@@ -98,7 +96,6 @@
 }
 
 const SIGTERM: i32 = 15;
-const SIGSTOP: i32 = 19;
 
 /// Sends a signal to a process that this one has started.
 fn send_signal(child: &Child, signal: i32) {
@@ -271,6 +268,39 @@
             .line(&format!("platform: {} has ended", process.name));
     }
 
+    /// Kills the process of a machine, as the platform does with one over its memory, and starts it again.
+    pub fn restart_over_memory(&mut self, index: usize) -> Result<(), CannotRun> {
+        if let Some(mut child) = self.processes[index].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        thread::sleep(RESTART_DELAY);
+        self.launch(index, false)
+    }
+
+    /// Resident memory of the process of a machine, in MiB.
+    pub fn memory_mb(&self, index: usize) -> u64 {
+        let child = self.processes[index].child.as_ref();
+        let path = child.map(|c| format!("/proc/{}/status", c.id()));
+        let status = path
+            .and_then(|p| std::fs::read_to_string(p).ok())
+            .unwrap_or_default();
+        let resident = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let kib = resident.and_then(|t| t.trim().split(' ').next()?.parse::<u64>().ok());
+        kib.unwrap_or(0) / 1_024
+    }
+
+    /// Size of the files in the data folder of a machine, in MiB.
+    pub fn disk_mb(&self, index: usize) -> u64 {
+        let files = std::fs::read_dir(self.data_dir(&self.processes[index].name));
+        let sizes = files
+            .into_iter()
+            .flatten()
+            .flatten()
+            .filter_map(|f| f.metadata().ok());
+        sizes.map(|m| m.len()).sum::<u64>() >> 20
+    }
+
     /// Control addresses of the running machines of the core.
     pub fn control(&self) -> Vec<String> {
         let running = self
@@ -298,8 +328,8 @@
         format!("{}.{host}:{WORKER_PORT}", self.net)
     }
 
-    /// Starts a worker. Returns its index.
-    pub fn start_worker(&mut self, args: worker::Args) -> Result<usize, CannotRun> {
+    /// Starts a worker.
+    pub fn start_worker(&mut self, args: worker::Args) -> Result<(), CannotRun> {
         let this = std::env::current_exe().map_err(|e| e.to_string())?;
         let mut child = Command::new(this)
             .args(args.to_words())
@@ -321,23 +351,8 @@
                 }
             }
         });
-        self.workers.push(WorkerProcess {
-            args,
-            child: Some(child),
-        });
-        Ok(self.workers.len() - 1)
-    }
-
-    /// Stops a worker for good: it is silent, and its connections hang.
-    pub fn stop_worker(&mut self, index: usize) {
-        let worker = &self.workers[index];
-        if let Some(child) = &worker.child {
-            send_signal(child, SIGSTOP);
-        }
-        self.record.line(&format!(
-            "disruption: SIGSTOP to worker {}, for good",
-            worker.args.id
-        ));
+        self.workers.push(child);
+        Ok(())
     }
 
     pub fn events(&self) -> Vec<Event> {
@@ -532,13 +547,15 @@
 
 /// A configuration with the routes `plan` (and further ones) to the service `desk`.
 pub fn config(version: u64, further_routes: usize) -> String {
-    let route = |name: &str, prefix: &str| {
+    let route = |name: &str, prefix: &str, advice: &str| {
         format!(
-            r#"{{"name":"{name}","host":"jobs.example","pathPrefix":"/{prefix}/","kind":"unsafe","timeoutMs":3000,"targetDurationMs":1000,"priority":1,"service":"desk","maxAttempts":2,"stretch":2.2,"public":false}}"#
+            r#"{{"name":"{name}","host":"jobs.example","pathPrefix":"/{prefix}/","kind":"unsafe","timeoutMs":3000,"targetDurationMs":1000,"priority":1,"service":"desk","maxAttempts":2,"stretch":2.2,{advice}"public":false}}"#
         )
     };
-    let mut routes = vec![route("r-plan", "plan")];
-    routes.extend((0..further_routes).map(|i| route(&format!("r-{i}"), &format!("p{i}"))));
+    let mut routes = vec![route("r-plan", "plan", "")];
+    let advice = r#""advice":{"decideMs":160.0,"eachMs":2.2,"validMs":1500},"#;
+    let further = |i| route(&format!("r-{i}"), &format!("p{i}"), advice);
+    routes.extend((0..further_routes).map(further));
     format!(
         r#"{{"version":{version},"routes":[{}],"services":[{{"name":"desk","healthPath":"/health","maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":false,"standby":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"hule930","apiKeys":["{KEY}"],"priority":1,"weight":13,"cap":{{"cpu":748100,"memMb":1828205,"gpu":630}}}}]}}"#,
         routes.join(",")
