--- a/crates/zinnia-control/src/message.rs
+++ b/crates/zinnia-control/src/message.rs
@@ -104,8 +104,10 @@
     Pending(usize),
     /// Text of the current document as received.
     Document(String),
-    /// The job does not exist.
+    /// The job does not exist. A submission of it that was sent before a cancellation is not carried out.
     Gone,
+    /// The job was cancelled before its submission arrived; it is not accepted.
+    Cancelled,
     /// No queue matches the host and path.
     NoQueue,
     /// The API key is unknown or missing.
--- a/crates/zinnia-control/src/requests.rs
+++ b/crates/zinnia-control/src/requests.rs
@@ -259,6 +259,9 @@
                 if let Some(why) = spec.find_error() {
                     return Decision::Answer(Answer::Invalid(why));
                 }
+                if !state.jobs.contains_key(&id) && state.is_cancelled(id) {
+                    return Decision::Answer(Answer::Cancelled);
+                }
                 // A repeated request for a job that is or may become accepted is never refused.
                 let is_new = !state.jobs.contains_key(&id) && !cell.open_submits.contains(&id);
                 if is_new && let Some(refusal) = self.refuse(&cell, queue, &team, &spec) {
@@ -274,7 +277,6 @@
                 })
             }
             CallerAction::Submit(Err(why)) => Decision::Answer(Answer::Invalid(why)),
-            CallerAction::Cancel if !state.jobs.contains_key(&id) => Decision::Answer(Answer::Gone),
             CallerAction::Cancel => Decision::Record(Record::Cancel(id)),
             CallerAction::Get => Decision::Answer(match state.jobs.get(&id) {
                 Some(job) => Answer::Job {
@@ -329,6 +331,8 @@
                 match reply.and_then(|r| r.into_iter().next()) {
                     Some(Reply::Conflict) => Answer::Conflict,
                     Some(Reply::Unknown) => Answer::Gone,
+                    Some(Reply::Cancelled) => Answer::Cancelled,
+                    Some(Reply::Busy { retry_after_ms }) => Answer::Busy(retry_after_ms),
                     Some(Reply::NoQueue) => Answer::NoQueue,
                     Some(_) => Answer::Done,
                     None => Answer::Unknown,
--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod assignment;
 mod backlog;
+mod cancelled_ids;
 mod capacity;
 mod crash;
 mod document;
--- a/crates/zinnia-plan/src/record.rs
+++ b/crates/zinnia-plan/src/record.rs
@@ -124,7 +124,7 @@
         /// Description of the job.
         spec: JobSpec,
     },
-    /// Cancels a job.
+    /// Cancels a job, also one whose submission has not arrived yet.
     Cancel(JobId),
     /// Registers a new incarnation of a worker, or the changed capacity of the current one.
     #[serde(rename = "join")]
@@ -281,8 +281,15 @@
     Started(Vec<Start>),
     /// The job id belongs to another queue or team.
     Conflict,
-    /// No job with this id exists.
+    /// No job with this id exists. A submission that arrives later is refused.
     Unknown,
+    /// The job was cancelled before its submission arrived; it is not accepted.
+    Cancelled,
+    /// The record changes nothing, since the state can hold no more of its kind for this time.
+    Busy {
+        /// When the state can hold it, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// The document has no queue at this host and path prefix any more; the job is not accepted.
     NoQueue,
 }
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -23,11 +23,13 @@
 use crate::Status;
 use crate::Step;
 use crate::TaskId;
+use crate::cancelled_ids::CancelledIds;
 use crate::job::StepState;
 use crate::job::Task;
 use crate::retired::Retired;
 
-/// How long an ended job stays in the state, so that callers can read its outcome.
+/// How long an ended or cancelled job stays in the state. Callers can read its outcome, and a submission that
+/// arrives late does not start it again.
 const RETENTION_MS: i64 = 180_000;
 
 /// The current incarnation of a worker and the runs that are assigned to it.
@@ -102,6 +104,9 @@
     pub(crate) retired: Retired,
     /// Jobs, including recently ended ones.
     pub jobs: BTreeMap<JobId, Job>,
+    /// Ids that were cancelled while no open job had them.
+    #[serde(default, skip_serializing_if = "CancelledIds::is_empty")]
+    cancelled_ids: CancelledIds,
     /// Latest incarnation of each worker, by name.
     pub workers: BTreeMap<String, Worker>,
     /// Resources of the assigned runs of each team.
@@ -225,6 +230,9 @@
                 false => Reply::Conflict,
             };
         }
+        if self.is_cancelled(id) {
+            return Reply::Cancelled;
+        }
         // The document may have changed since the leader chose the queue.
         if job
             .route
@@ -240,11 +248,27 @@
     }
 
     fn cancel(&mut self, id: JobId) -> Reply {
-        if !self.jobs.contains_key(&id) {
-            return Reply::Unknown;
+        let known = self.jobs.get(&id).map(|j| j.status);
+        if known == Some(Status::Open) {
+            self.end_job(id, Status::Cancelled);
+            return Reply::Done;
         }
-        self.end_job(id, Status::Cancelled);
-        Reply::Done
+        // An ended job may be removed soon, so that its id must be kept, too.
+        match self.cancelled_ids.insert(id, self.at_ms) {
+            Ok(()) if known.is_some() => Reply::Done,
+            Ok(()) => Reply::Unknown,
+            Err(oldest_ms) => {
+                let wait_ms = oldest_ms.saturating_add(RETENTION_MS) - self.at_ms;
+                Reply::Busy {
+                    retry_after_ms: u64::try_from(wait_ms).unwrap_or(0),
+                }
+            }
+        }
+    }
+
+    /// Whether the id was cancelled so recently that a submission may still be on its way.
+    pub fn is_cancelled(&self, id: JobId) -> bool {
+        self.cancelled_ids.contains(id)
     }
 
     pub(crate) fn end_job(&mut self, id: JobId, status: Status) {
@@ -273,6 +297,8 @@
     }
 
     fn remove_expired(&mut self) {
+        let limit_ms = self.at_ms.saturating_sub(RETENTION_MS);
+        self.cancelled_ids.remove_until(limit_ms);
         while let Some(&(at, id)) = self.ended.first() {
             if at + RETENTION_MS > self.at_ms || self.live.contains(&id) {
                 return;
--- a/crates/zinnia-plan/tests/losses/cell.rs
+++ b/crates/zinnia-plan/tests/losses/cell.rs
@@ -18,6 +18,7 @@
 use zinnia_plan::State;
 use zinnia_plan::lease_bound_ms;
 use zinnia_plan::lease_within_ms;
+use zinnia_types::JobId;
 use zinnia_types::Time;
 
 use crate::worker::MAX_LEASE_MS;
@@ -128,6 +129,8 @@
 pub(crate) struct Applied {
     /// Orders to be sent, each with its sender.
     pub(crate) orders: Vec<(usize, StartOrder)>,
+    /// Jobs whose cancellation is answered.
+    pub(crate) cancelled: Vec<JobId>,
 }
 
 /// The members and their log.
@@ -246,10 +249,12 @@
             if !m.up || m.cut.is_some() || !is_due {
                 return;
             }
-            let orders = apply_entry(m, entry, now);
-            applied
-                .orders
-                .extend(orders.into_iter().map(|o| (member, o)));
+            let effects = apply_entry(m, entry, now);
+            let orders = effects.orders.into_iter().map(|o| (member, o));
+            applied.orders.extend(orders);
+            if m.term == Some(entry.term) {
+                applied.cancelled.extend(effects.cancelled);
+            }
         }
     }
 
@@ -381,17 +386,31 @@
     UNIX_START_MS + i64::try_from(now).expect("the simulation is short")
 }
 
-/// Applies an entry. Returns the orders that the member sends as the leader.
-fn apply_entry(m: &mut Member, entry: &Entry, now: u64) -> Vec<StartOrder> {
+/// What the application of an entry by one member has led to.
+#[derive(Default)]
+struct Effects {
+    /// Orders that the member sends as the leader.
+    orders: Vec<StartOrder>,
+    /// Jobs whose cancellation the member answers if it has proposed the entry.
+    cancelled: Vec<JobId>,
+}
+
+/// Applies an entry.
+fn apply_entry(m: &mut Member, entry: &Entry, now: u64) -> Effects {
     m.applied += 1;
     let mut batch = Batch::clone(&entry.batch);
     batch.drop_outdated(entry.term);
     let clock = m.clock(now);
     let replies = m.state.apply(&batch);
     m.lease_times.applied(&m.state, clock);
-    let mut orders = Vec::new();
+    let mut effects = Effects::default();
+    for (record, reply) in batch.records.iter().zip(&replies) {
+        if let (Record::Cancel(id), Reply::Done | Reply::Unknown) = (record, reply) {
+            effects.cancelled.push(*id);
+        }
+    }
     let Some(leader) = m.leader.as_mut() else {
-        return orders;
+        return effects;
     };
     if let Some(changes) = &batch.lease_changes {
         leader.lease_changes_applied(changes, clock);
@@ -401,7 +420,7 @@
             (Record::Start(_), Reply::Started(starts)) => {
                 m.starts_pending = false;
                 let prepare = |s| leader.prepare_start(&m.state, s, clock);
-                orders.extend(starts.iter().filter_map(prepare));
+                effects.orders.extend(starts.iter().filter_map(prepare));
             }
             (Record::Ends { worker, list, .. }, _) => {
                 for end in list.iter().filter(|e| e.reason == EndReason::Done) {
@@ -413,5 +432,5 @@
         }
     }
     m.wake(now);
-    orders
+    effects
 }
--- a/crates/zinnia-plan/tests/losses/check.rs
+++ b/crates/zinnia-plan/tests/losses/check.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 
 use zinnia_plan::TaskId;
+use zinnia_types::JobId;
 
 use crate::schedule::Schedule;
 
@@ -16,6 +17,9 @@
 /// How long there must be room for a task that does not run.
 const ROOM_MS: u64 = 3_000;
 
+/// Longest time after the answer to a cancellation in which a task of the job may start.
+const CANCEL_BOUND_MS: u64 = 3_000;
+
 /// Kind of a violation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Kind {
@@ -27,6 +31,8 @@
     Late,
     /// A job that is to last is shown as ended.
     GivenUp,
+    /// A task starts long after the cancellation of its job was answered.
+    Unasked,
 }
 
 /// A violation of a rule.
@@ -50,6 +56,8 @@
     lasting: BTreeMap<TaskId, Lasting>,
     /// Times of all starts of a task.
     starts: BTreeMap<TaskId, Vec<u64>>,
+    /// When the cancellation of a job was first answered.
+    cancelled: BTreeMap<JobId, u64>,
     last_loss: u64,
     /// When there was last no room for a lasting task.
     last_full: u64,
@@ -106,6 +114,24 @@
         }
     }
 
+    /// Records that the cancellation of a job was answered.
+    pub(crate) fn cancelled(&mut self, job: JobId, now: u64) {
+        self.cancelled.entry(job).or_insert(now);
+    }
+
+    pub(crate) fn is_cancelled(&self, job: JobId) -> bool {
+        self.cancelled.contains_key(&job)
+    }
+
+    /// Checks a start whose order was not delayed.
+    pub(crate) fn check_cancelled(&mut self, task: TaskId, now: u64) {
+        let cancelled = self.cancelled.get(&task.job).copied();
+        if let Some(at) = cancelled.filter(|at| now > at + CANCEL_BOUND_MS) {
+            let text = format!("it starts after the cancellation was answered at {at}");
+            self.fail(Kind::Unasked, now, task, &text);
+        }
+    }
+
     /// Records that an end `done` was taken note of, which was at `ended`.
     pub(crate) fn done_acked(&mut self, task: TaskId, ended: u64, now: u64) {
         let starts = self.starts.get(&task);
--- a/crates/zinnia-plan/tests/losses/main.rs
+++ b/crates/zinnia-plan/tests/losses/main.rs
@@ -9,6 +9,7 @@
     reason = "a test must stop if its setup fails"
 )]
 
+mod callers;
 mod cell;
 mod check;
 mod departure;
@@ -132,6 +133,12 @@
     sweep(Class::Deregistrations);
 }
 
+/// Guards against jobs that run although their cancellation was answered before their submission arrived.
+#[test]
+fn jobs_are_cancelled_early() {
+    sweep(Class::Cancellations);
+}
+
 /// Guards against combinations of losses that the other schedules leave out.
 #[test]
 fn mixed_losses() {
--- a/crates/zinnia-plan/tests/losses/network.rs
+++ b/crates/zinnia-plan/tests/losses/network.rs
@@ -4,10 +4,12 @@
 use rand::rngs::SmallRng;
 use zinnia_plan::Heartbeat;
 use zinnia_plan::Poll;
+use zinnia_plan::Record;
 use zinnia_plan::Report;
 use zinnia_plan::RunOrder;
 use zinnia_plan::StartOrder;
 use zinnia_plan::StartOutcome;
+use zinnia_types::JobId;
 
 /// Timeout of orders and of polls without a wait.
 const SHORT_TIMEOUT_MS: u64 = 200;
@@ -74,6 +76,10 @@
     Order { member: usize, order: StartOrder },
     /// A late heartbeat arrives.
     Beat(Heartbeat),
+    /// A submission of a job arrives.
+    Submission(Record),
+    /// A cancellation of a job arrives.
+    Cancellation(JobId),
     /// A deregistration arrives, with the start of the incarnation if it tells it.
     Deregister { machine: usize, born: Option<i64> },
 }
--- a/crates/zinnia-plan/tests/losses/schedule.rs
+++ b/crates/zinnia-plan/tests/losses/schedule.rs
@@ -40,6 +40,8 @@
     LateOrders,
     /// Workers deregister while they run tasks, around the loss of a leader or of another worker.
     Deregistrations,
+    /// Callers cancel their jobs, around the loss of a leader.
+    Cancellations,
     /// Any of these at random moments.
     Mixed,
     /// A kept sequence.
@@ -139,7 +141,7 @@
 impl Draw {
     fn finish(mut self, class: Class) -> Schedule {
         let has_late_orders = class == Class::LateOrders;
-        let submit_ms = match has_late_orders {
+        let submit_ms = match has_late_orders || class == Class::Cancellations {
             true => self.rng.random_range(50..90),
             false => self.rng.random_range(60..900),
         };
@@ -370,6 +372,16 @@
                 }
                 self.step_down_sometimes(at);
             }
+            Class::Cancellations => match self.rng.random_range(0..4) {
+                0 => self.add(first, Fault::StepDown),
+                1 => {
+                    self.cut_leader(first);
+                }
+                _ => {
+                    self.lose_leader(first);
+                    self.step_down_sometimes(first + gap);
+                }
+            },
             Class::Kept => {}
             Class::Mixed => {
                 let mut at = first;
--- a/crates/zinnia-plan/tests/losses/sim.rs
+++ b/crates/zinnia-plan/tests/losses/sim.rs
@@ -163,6 +163,9 @@
 
     fn advance_cell(&mut self) {
         let applied = self.cell.advance(self.now);
+        for id in applied.cancelled {
+            self.checks.cancelled(id, self.now);
+        }
         for (member, order) in applied.orders {
             let at = self.now + self.rng.random_range(0..20);
             self.push(at, Event::Order { member, order });
@@ -257,6 +260,8 @@
                 Event::Beat(heartbeat) => {
                     self.receive_beat(&heartbeat);
                 }
+                Event::Submission(record) => self.receive_submission(record),
+                Event::Cancellation(id) => self.receive_cancellation(id),
                 Event::Deregister { machine, born } => self.receive_deregistration(machine, born),
             }
         }
@@ -323,6 +328,9 @@
                     let on = format!("{name}{late}");
                     self.checks.started(task, run, &on, &others, now);
                     self.check_recorded(task, run, now);
+                    if answered {
+                        self.checks.check_cancelled(task, now);
+                    }
                 }
                 StartOutcome::Accepted { clock_ms }
             }
--- a/crates/zinnia-plan/tests/losses/workload.rs
+++ b/crates/zinnia-plan/tests/losses/workload.rs
@@ -159,10 +159,14 @@
                 cpu: SHORT_CPU,
                 work_ms: Some(self.rng.random_range(100..6_000)),
             };
-            records.push(self.new_job(id, work));
+            if !self.submit_by_caller(id, work) {
+                records.push(self.new_job(id, work));
+            }
+        }
+        if !records.is_empty() {
+            self.cell
+                .propose(member, records, LeaseChanges::default(), now);
         }
-        self.cell
-            .propose(member, records, LeaseChanges::default(), now);
         let goes_on = now + LAST_SUBMIT_MS < self.schedule.end;
         self.next_submit = match goes_on {
             true => now + self.schedule.submit_ms,
@@ -170,7 +174,7 @@
         };
     }
 
-    fn new_job(&mut self, id: JobId, work: Work) -> Record {
+    pub(crate) fn new_job(&mut self, id: JobId, work: Work) -> Record {
         self.works.insert(id, work);
         let step = Step {
             count: 1,
