control: requests carry a deadline on the leader's clock

Cause: the gateway gave up each attempt after 0.4 s, but the message stayed in the connection, and the leader carried out whatever arrived. Change: each attempt of a POST or DELETE names the time at which it is given up as a reading of the leader's clock, which processes learn with their hellos. The leader carries out nothing later, nor under a reading of another term, and answers with its clock, so that a process that still waits sends the request again at once. Wall clocks are not used; the field is optional for processes of earlier builds.

--- a/crates/zinnia-control/src/context.rs
+++ b/crates/zinnia-control/src/context.rs
@@ -27,6 +27,7 @@
 use zinnia_types::Time;
 use zinnia_types::VmId;
 
+use crate::LeaderTime;
 use crate::Settings;
 use crate::heartbeat_relay::Receiver;
 use crate::heartbeat_relay::heartbeat_receivers;
@@ -124,6 +125,15 @@
         self.read(leads)?.then_some(term)
     }
 
+    /// Reads the clock of the leader, if that is this process.
+    pub(crate) fn leader_time(&self) -> Option<LeaderTime> {
+        let term = self.leading_term()?;
+        Some(LeaderTime {
+            term,
+            at: clock::now(),
+        })
+    }
+
     /// Returns the term in which this process is the leader, once everything committed before is
     /// applied.
     ///
--- a/crates/zinnia-control/src/gateway.rs
+++ b/crates/zinnia-control/src/gateway.rs
@@ -16,8 +16,10 @@
 use zinnia_types::Time;
 
 use crate::Answer;
+use crate::LeaderTime;
 use crate::Request;
 use crate::context::MemberContext;
+use crate::deadline::LeaderClock;
 use crate::heartbeat_relay::HEARTBEATS_METHOD;
 use crate::heartbeat_relay::RELAY_INTERVAL;
 use crate::heartbeat_relay::RelayBuffer;
@@ -53,7 +55,7 @@
     ATTEMPT_TIMEOUT.saturating_add(DOCUMENT_TIME_PER_KIB.saturating_mul(kib))
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct KnownCell {
     /// Member addresses from the settings.
     seeds: Vec<String>,
@@ -66,6 +68,7 @@
     heartbeat_addrs: Vec<String>,
     /// When the leader last answered a `hello`.
     last_answer: Time,
+    leader_clock: LeaderClock,
     next_member: usize,
 }
 
@@ -88,7 +91,12 @@
         let known = KnownCell {
             members: seeds.iter().cloned().collect(),
             seeds,
-            ..KnownCell::default()
+            leader: None,
+            control_addr: None,
+            heartbeat_addrs: Vec::new(),
+            last_answer: Time(0),
+            leader_clock: LeaderClock::unknown(),
+            next_member: 0,
         };
         Self {
             links,
@@ -180,12 +188,16 @@
     /// Sends a request to the leader and retries until `limit` has passed.
     ///
     /// A request answered with [`Answer::Busy`] was certainly not carried out; one answered with
-    /// [`Answer::Unknown`] may have been.
+    /// [`Answer::Unknown`] may have been. A change for a caller that is still on its way when this returns is
+    /// carried out within the timeout of an attempt, or not at all.
     pub async fn request(&self, request: &Request, limit: Duration) -> Answer {
+        let mut request = request.clone();
         let deadline = Instant::now() + limit;
         let mut maybe_applied = false;
+        let mut clock_read = false;
         loop {
             if let Some(context) = self.context.as_ref().filter(|c| c.is_leader()) {
+                request.set_deadline(None);
                 match context.handle(request.clone()).await {
                     Answer::Elsewhere(_) => {}
                     Answer::Unknown => maybe_applied = true,
@@ -193,13 +205,21 @@
                 }
             } else if let Some(addr) = self.next_target() {
                 let left = deadline.saturating_duration_since(Instant::now());
-                let attempt = left.min(attempt_timeout(request));
+                let attempt = left.min(attempt_timeout(&request));
+                request.set_deadline(Some(self.leader_deadline(attempt)));
                 let answer = self
                     .links
-                    .call_with_timeout::<_, Answer>(&addr, "ask", request, attempt)
+                    .call_with_timeout::<_, Answer>(&addr, "ask", &request, attempt)
                     .await;
                 match answer {
                     Ok(Answer::Elsewhere(leader)) => self.update_leader(&addr, leader),
+                    Ok(Answer::Expired(reading)) => {
+                        self.record_leader_time(reading);
+                        // The first attempt at a new leader learns its clock in this way.
+                        if !std::mem::replace(&mut clock_read, true) {
+                            continue;
+                        }
+                    }
                     Ok(Answer::Unknown) => maybe_applied = true,
                     Ok(answer) => return request.final_answer(answer, maybe_applied),
                     Err(error) => {
@@ -225,6 +245,16 @@
         }
     }
 
+    /// Returns the time `after` from now on the leader's clock.
+    fn leader_deadline(&self, after: Duration) -> LeaderTime {
+        let ms = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
+        self.known().leader_clock.deadline(clock::now().after(ms))
+    }
+
+    fn record_leader_time(&self, reading: LeaderTime) {
+        self.known().leader_clock = LeaderClock::new(reading, clock::now());
+    }
+
     /// Returns the process to try next: the leader if known, else each member in turn.
     fn next_target(&self) -> Option<String> {
         let mut known = self.known();
@@ -296,6 +326,9 @@
                 context.record_address(*id, peer);
             }
         }
+        if let Some(reading) = reply.clock {
+            self.record_leader_time(reading);
+        }
         let mut known = self.known();
         if !reply.members.is_empty() {
             known.members = known.seeds.iter().cloned().collect();
--- a/crates/zinnia-control/src/lib.rs
+++ b/crates/zinnia-control/src/lib.rs
@@ -5,6 +5,7 @@
 //! for the whole cell.
 
 mod context;
+mod deadline;
 mod gateway;
 mod heartbeat_relay;
 mod leader;
@@ -16,6 +17,8 @@
 mod settings;
 mod transport;
 
+pub use deadline::LeaderClock;
+pub use deadline::LeaderTime;
 pub use gateway::Gateway;
 pub use heartbeat_relay::Receiver;
 pub use heartbeat_relay::heartbeat_receivers;
--- a/crates/zinnia-control/src/message.rs
+++ b/crates/zinnia-control/src/message.rs
@@ -7,6 +7,8 @@
 use zinnia_plan::JobSpec;
 use zinnia_plan::Status;
 
+use crate::deadline::LeaderTime;
+
 /// Method name of the messages of the log.
 pub(crate) const RAFT_METHOD: &str = "raft";
 
@@ -22,6 +24,10 @@
     /// Requested action.
     #[serde(rename = "view")]
     pub action: CallerAction,
+    /// When the process that forwards the request gives up this attempt, on the leader's clock. The leader
+    /// does not carry out a change that arrives later. `None` from a build that does not tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub deadline: Option<LeaderTime>,
 }
 
 /// Action that a caller requests.
@@ -74,6 +80,15 @@
         }
     }
 
+    /// Sets the deadline of an attempt, if the request may be carried out too late.
+    pub(crate) fn set_deadline(&mut self, deadline: Option<LeaderTime>) {
+        if let Self::Caller(request) = self
+            && request.action != CallerAction::Get
+        {
+            request.deadline = deadline;
+        }
+    }
+
     /// Returns the answer for the caller. `maybe_applied` tells whether an earlier attempt may have
     /// been carried out. In that case a refusal of a later attempt does not show that the request
     /// had no effect: the earlier attempt may have been accepted under the document of that time.
@@ -122,6 +137,9 @@
     Unknown,
     /// This process is not the leader; the leader's peer address, if known.
     Elsewhere(Option<String>),
+    /// The request arrived after its deadline, or with one on another clock, and was not carried out. The
+    /// leader's clock shows this time.
+    Expired(LeaderTime),
 }
 
 /// Introduces a process to a member, at regular intervals.
@@ -149,4 +167,7 @@
     pub members: Vec<(zinnia_types::VmId, String)>,
     /// Whether the answering process is the leader and may answer reads.
     pub ready: bool,
+    /// The leader's clock, if the answering process is the leader.
+    #[serde(default)]
+    pub clock: Option<LeaderTime>,
 }
--- a/crates/zinnia-control/src/process.rs
+++ b/crates/zinnia-control/src/process.rs
@@ -171,6 +171,7 @@
         n.members().iter().map(row).collect()
     });
     HelloReply {
+        clock: context.leader_time(),
         control: leader.as_ref().map(|(_, control)| control.clone()),
         heartbeat_addrs,
         leader: leader.map(|(peer, _)| peer),
--- a/crates/zinnia-control/src/requests.rs
+++ b/crates/zinnia-control/src/requests.rs
@@ -22,6 +22,7 @@
 use crate::Answer;
 use crate::CallerAction;
 use crate::CallerRequest;
+use crate::LeaderTime;
 use crate::Request;
 use crate::context::CellState;
 use crate::context::MemberContext;
@@ -63,6 +64,14 @@
     async fn handle_caller(&self, request: CallerRequest) -> Answer {
         if request.action == CallerAction::Get {
             self.wait_for_end(&request).await;
+        } else if let Some(deadline) = request.deadline {
+            let Some(now) = self.leader_time() else {
+                return Answer::Elsewhere(None);
+            };
+            if !deadline.allows(now) {
+                report_late(&request, deadline, now);
+                return Answer::Expired(now);
+            }
         }
         match self.decide(request) {
             Decision::Answer(answer) => self.confirm_leader(answer),
@@ -355,6 +364,20 @@
     }
 }
 
+/// Reports a request that arrived late. One with a deadline on the clock of another leader may be in time.
+fn report_late(request: &CallerRequest, deadline: LeaderTime, now: LeaderTime) {
+    if deadline.term != now.term {
+        return;
+    }
+    metrics::counter!("zinnia_late_requests_total").increment(1);
+    tracing::info!(
+        event = "late",
+        path = request.path,
+        late_ms = now.at.since(deadline.at),
+        "request arrived after its deadline; it was not carried out"
+    );
+}
+
 fn log_refusal(id: JobId, queue: &str, team: &str, refusal: Refusal) {
     let reason = refusal.reason.name();
     metrics::counter!("zinnia_refusals_total", "reason" => reason).increment(1);
--- a/crates/zinnia-control/tests/cell.rs
+++ b/crates/zinnia-control/tests/cell.rs
@@ -91,6 +91,7 @@
         path: "/q/".to_owned(),
         key: None,
         action: CallerAction::Get,
+        deadline: None,
     });
     let cases = [
         Case {
--- a/crates/zinnia-control/tests/common/mod.rs
+++ b/crates/zinnia-control/tests/common/mod.rs
@@ -186,6 +186,7 @@
         path: format!("/q/{id:016x}"),
         key: None,
         action,
+        deadline: None,
     })
 }
 
