raft: the silence of a peer does not include a pause of the leader

What callers saw: nothing yet. With voters that are replaced after a second of silence, a leader that was suspended for longer and has the answer of a quorum would remove a voter whose answer comes some milliseconds later. Cause: PeerStatus::silent_ms counts from the last reply, also over a time in which the leader did nothing. Change: it counts from the leader's own resumption at the earliest, as the rule for stepping down does. Test that fails without the change: silence_of_peers_does_not_include_a_pause_of_the_leader (5,000 ms instead of 0).

--- a/crates/zinnia-raft/src/node.rs
+++ b/crates/zinnia-raft/src/node.rs
@@ -443,7 +443,7 @@
             voter: self.members().is_voter(*id),
             matched: p.match_index,
             lag: self.commit_index.saturating_sub(p.match_index),
-            silent_ms: self.now.since(p.last_reply),
+            silent_ms: self.now.since(p.last_reply.max(self.resumed_at)),
             caught_up: self.is_caught_up(p),
         };
         self.peers.iter().map(peer).collect()
--- a/crates/zinnia-raft/src/progress.rs
+++ b/crates/zinnia-raft/src/progress.rs
@@ -20,7 +20,8 @@
     pub matched: u64,
     /// Number of committed entries that the peer lacks.
     pub lag: u64,
-    /// Milliseconds since its last reply, or since the leader started tracking it.
+    /// Milliseconds since its last reply, or since the leader started tracking it or went on after a pause of
+    /// its own.
     pub silent_ms: u64,
     /// Whether the peer is responsive and close enough to the commit index to be promoted.
     pub caught_up: bool,
--- a/crates/zinnia-raft/tests/leading.rs
+++ b/crates/zinnia-raft/tests/leading.rs
@@ -78,6 +78,21 @@
     assert_eq!(node.role(), Role::Follower);
 }
 
+/// Guards against a leader that takes a pause of its own for silence of its voters, and would replace them.
+#[test]
+fn silence_of_peers_does_not_include_a_pause_of_the_leader() {
+    let mut node = leader();
+    receive(&mut node, 2, append_reply(3, 4_000), 4_010);
+    let after_pause = 9_000;
+    node.step(Event::Tick, Time(START_MS + after_pause));
+    let silence = |node: &Node| node.peers().iter().map(|p| p.silent_ms).max();
+    assert_eq!(silence(&node), Some(0));
+    for ms in (after_pause..=after_pause + 500).step_by(100) {
+        node.step(Event::Tick, Time(START_MS + ms));
+    }
+    assert_eq!(silence(&node), Some(500), "it counts from then on");
+}
+
 /// Guards against a slow disk of the leader that holds back its entries although a quorum can
 /// commit them, and against one sync for each of many proposals in a row.
 #[test]
