--- a/crates/zinnia-control/src/context.rs
+++ b/crates/zinnia-control/src/context.rs
@@ -98,8 +98,16 @@
     pub(crate) start_orders: mpsc::UnboundedSender<StartOrder>,
     /// Peer addresses of processes that are not, or not yet, members.
     pub(crate) peer_addrs: Mutex<BTreeMap<VmId, String>>,
+    /// When members last announced that they shut down.
+    pub(crate) leaving: Mutex<BTreeMap<VmId, Time>>,
+    /// Wakes the leader's management of the membership.
+    pub(crate) membership_wakeup: Notify,
 }
 
+/// Time after its last announcement for which a member counts as one that shuts down. A member that waits repeats
+/// it in shorter intervals.
+const LEAVING_MS: u64 = 1_000;
+
 impl MemberContext {
     pub(crate) fn cell_state(&self) -> MutexGuard<'_, CellState> {
         self.cell.lock().unwrap_or_else(PoisonError::into_inner)
@@ -203,6 +211,19 @@
         peer_addrs.insert(vm, addr.to_owned());
     }
 
+    pub(crate) fn record_leaving(&self, id: VmId) {
+        let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        leaving.insert(id, clock::now());
+    }
+
+    /// Members that have announced that they shut down.
+    pub(crate) fn leaving_members(&self) -> BTreeSet<VmId> {
+        let now = clock::now();
+        let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        leaving.retain(|_, at| now.since(*at) < LEAVING_MS);
+        leaving.keys().copied().collect()
+    }
+
     /// Returns the leader's addresses for other processes and for workers.
     pub(crate) fn leader(&self) -> Option<(String, String)> {
         self.read(|n| {
--- a/crates/zinnia-control/src/member.rs
+++ b/crates/zinnia-control/src/member.rs
@@ -5,6 +5,7 @@
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
+use std::time::Instant;
 
 use anyhow::Context;
 use anyhow::Result;
@@ -14,8 +15,6 @@
 use zinnia_peer::Links;
 use zinnia_raft::Members;
 use zinnia_raft::MembershipChange;
-use zinnia_raft::Node;
-use zinnia_raft::PeerStatus;
 use zinnia_raft::RecoveredState;
 use zinnia_raft::Snapshot;
 use zinnia_replica::ProposalOutcome;
@@ -29,7 +28,10 @@
 use crate::context::CellState;
 use crate::context::MemberContext;
 use crate::log_hooks::hooks;
+use crate::membership::Membership;
 use crate::message::Hello;
+use crate::message::LEAVE_METHOD;
+use crate::message::LeaveReply;
 
 /// Cluster name in the store.
 pub(crate) const CLUSTER_NAME: &str = "zinnia";
@@ -41,6 +43,10 @@
 const LEARNER_INTERVAL_MS: u64 = 50;
 /// Interval between two checks of the membership.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between two announcements of a member that shuts down.
+const LEAVE_INTERVAL: Duration = Duration::from_millis(50);
+/// Timeout of such an announcement.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of a membership change.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -94,6 +100,8 @@
             job_progress: Notify::new(),
             start_orders,
             peer_addrs: Mutex::default(),
+            leaving: Mutex::default(),
+            membership_wakeup: Notify::new(),
         });
         let log = zinnia_raft::Settings {
             id,
@@ -175,6 +183,9 @@
 
 /// Adds a process to the members, or updates its addresses if they have changed.
 pub(crate) fn update_member(context: &Arc<MemberContext>, vm: VmId, hello: &Hello) {
+    if context.leaving_members().contains(&vm) {
+        return;
+    }
     let unchanged = context.read(|n| {
         n.has_pending_change()
             || n.members()
@@ -205,56 +216,91 @@
     matches!(verdict, Some(ProposalOutcome::Applied { .. }))
 }
 
-/// Changes the membership while this process leads: promotes learners that have caught up and
-/// removes voters that are gone.
+/// Changes the membership while this process leads.
 async fn manage_members(context: Arc<MemberContext>) {
     loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
+        let wakeup = context.membership_wakeup.notified();
+        let _ = tokio::time::timeout(CHECK_INTERVAL, wakeup).await;
         // A change may require the next one: between the removal of a voter and the promotion of the
         // learner that takes its place, the cell tolerates no further loss.
         while context.is_leader()
-            && let Some(Some(change)) =
-                context.read(|n| next_change(n, &context.settings, context.id))
+            && let Some(change) = next_change(&context)
             && apply_change(&context, change).await
         {}
     }
 }
 
-/// Returns the next membership change that is needed, if any.
-fn next_change(node: &Node, settings: &Settings, own: VmId) -> Option<MembershipChange> {
-    if node.has_pending_change() {
-        return None;
-    }
-    let members = node.members();
-    let peers = node.peers();
-    let own_outdated = members
-        .get(own)
-        .is_some_and(|m| m.http != settings.control_addr);
-    if own_outdated {
-        let member = members.get(own)?.clone();
-        return Some(MembershipChange::Add(zinnia_raft::Member {
-            http: settings.control_addr.clone(),
-            ..member
-        }));
+fn next_change(context: &MemberContext) -> Option<MembershipChange> {
+    let leaving = context.leaving_members();
+    context.read(|n| {
+        let membership = Membership {
+            members: n.members(),
+            peers: &n.peers(),
+            own: context.id,
+            leaving: &leaving,
+        };
+        match n.has_pending_change() {
+            true => None,
+            false => membership.next_change(&context.settings),
+        }
+    })?
+}
+
+impl Member {
+    /// Hands the vote of this member over before the process shuts down, if another member can take it. Returns
+    /// once that is done, or after `limit`.
+    pub(crate) async fn leave(&self, limit: Duration) {
+        let context = &self.context;
+        let is_voter = || context.read(|n| n.members().is_voter(context.id));
+        let started = Instant::now();
+        while is_voter() == Some(true) && started.elapsed() < limit {
+            if !may_hand_over(context).await {
+                break;
+            }
+            tokio::time::sleep(LEAVE_INTERVAL).await;
+        }
+        tracing::info!(
+            event = "leave",
+            voter = is_voter(),
+            ms = started.elapsed().as_millis(),
+            "this member shuts down"
+        );
     }
-    let addr = |id: VmId| members.get(id).map(|m| m.peer.as_str());
-    // Of two members with the same address, the silent one has lost its disk.
-    let replaced = peers.iter().find(|p| {
-        let has_successor = peers
-            .iter()
-            .any(|q| q.id != p.id && addr(q.id) == addr(p.id) && q.silent_ms < p.silent_ms);
-        has_successor && p.silent_ms > settings.election_ms.1
-    });
-    if let Some(peer) = replaced {
-        return Some(MembershipChange::Remove(peer.id));
+}
+
+/// Announces to the leader that this member shuts down. Returns whether to wait for its vote to be handed over.
+async fn may_hand_over(context: &MemberContext) -> bool {
+    if context.is_leader() {
+        return record_leaving(context, context.id);
     }
-    let ready = |p: &&PeerStatus| !p.voter && p.caught_up;
-    let learner = peers.iter().find(ready)?;
-    if members.voters().count() < settings.voters {
-        return Some(MembershipChange::Promote(learner.id));
+    let Some((leader, _)) = context.leader() else {
+        // The members that are left may need this vote to elect one.
+        return true;
+    };
+    let answer = context
+        .links
+        .call_with_timeout::<_, LeaveReply>(&leader, LEAVE_METHOD, &(), LEAVE_TIMEOUT)
+        .await;
+    match answer {
+        Ok(reply) => reply.wait,
+        // A leader of an earlier build does not know the method.
+        Err(error) => error.handler_error.is_none(),
     }
-    let silent = peers
-        .iter()
-        .find(|p| p.voter && p.silent_ms > settings.replace_ms)?;
-    Some(MembershipChange::Remove(silent.id))
+}
+
+/// Records that a member is about to shut down. Returns whether it should wait until its vote is handed over.
+pub(crate) fn record_leaving(context: &MemberContext, id: VmId) -> bool {
+    context.record_leaving(id);
+    let leaving = context.leaving_members();
+    let wait = context.read(|n| {
+        let membership = Membership {
+            members: n.members(),
+            peers: &n.peers(),
+            own: context.id,
+            leaving: &leaving,
+        };
+        membership.can_hand_over(id, &context.settings)
+    });
+    context.membership_wakeup.notify_one();
+    wait.unwrap_or(false)
 }
--- a/crates/zinnia-control/src/message.rs
+++ b/crates/zinnia-control/src/message.rs
@@ -12,6 +12,9 @@
 /// Method name of the messages of the log.
 pub(crate) const RAFT_METHOD: &str = "raft";
 
+/// Method name of the announcement of a member that shuts down.
+pub(crate) const LEAVE_METHOD: &str = "leave";
+
 /// A request from a caller of a queue.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CallerRequest {
@@ -171,3 +174,10 @@
     #[serde(default)]
     pub clock: Option<LeaderTime>,
 }
+
+/// Answer to a member that announces that it shuts down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LeaveReply {
+    /// Whether the member should wait, since its vote can be handed over.
+    pub wait: bool,
+}
--- a/crates/zinnia-control/src/process.rs
+++ b/crates/zinnia-control/src/process.rs
@@ -29,6 +29,8 @@
 use crate::heartbeat_relay::HEARTBEATS_METHOD;
 use crate::message::Hello;
 use crate::message::HelloReply;
+use crate::message::LEAVE_METHOD;
+use crate::message::LeaveReply;
 use crate::message::RAFT_METHOD;
 
 /// A running process of the cell.
@@ -134,6 +136,11 @@
                 context.record_heartbeats(&list);
                 Ok(Value::Null)
             }
+            (LEAVE_METHOD, Some(context)) => {
+                // Without the lead the member asks again.
+                let wait = !context.is_leader() || crate::member::record_leaving(&context, vm);
+                encode(&LeaveReply { wait })
+            }
             ("hello", Some(context)) => {
                 let hello: Hello = decode(&value)?;
                 encode(&handle_hello(&context, vm, &hello))
@@ -188,6 +195,14 @@
         serde_json::json!({ "gateway": gateway, "member": member })
     }
 
+    /// Prepares the shutdown: hands the vote of the member of the log over, if there is one and another member
+    /// can take it. Returns after `limit` at the latest.
+    pub async fn leave(&self, limit: Duration) {
+        if let Some(member) = &self.member {
+            member.leave(limit).await;
+        }
+    }
+
     /// Stops the member of the log, if there is one.
     pub async fn stop(&self) {
         /// Timeout for the log thread to stop.
--- a/crates/zinnia-control/src/settings.rs
+++ b/crates/zinnia-control/src/settings.rs
@@ -44,7 +44,8 @@
     pub election_ms: (u64, u64),
     /// Number of entries between two snapshots.
     pub compact_entries: u64,
-    /// Time without a message after which a voter is replaced, if a learner is ready.
+    /// Time without a message after which a voter is replaced, if a learner is ready. An election and a write to
+    /// a slow disk take less.
     pub replace_ms: u64,
     /// Maximum delay of a read of a job that may end soon.
     pub read_wait_ms: u64,
@@ -75,7 +76,7 @@
             heartbeat_ms: 80,
             election_ms: (400, 700),
             compact_entries: 4_000,
-            replace_ms: 4_000,
+            replace_ms: 1_000,
             read_wait_ms: 150,
             max_direct_workers: 800,
             admission: AdmissionSettings::default(),
@@ -85,6 +86,11 @@
 }
 
 impl Settings {
+    /// Largest number of voters, with members beyond those that are needed.
+    pub(crate) fn max_voters(&self) -> usize {
+        (2 * self.voters).saturating_sub(1)
+    }
+
     /// Length of the leader lease: how long the leader may answer reads after it last heard from a
     /// quorum.
     pub(crate) fn leader_lease_ms(&self) -> u64 {
