control: the deadline of a request is that of its process, not of an attempt

Cause: with a deadline for each attempt (0.4 s), a leader under load throws away what it has queued for longer, and the next attempt waits as long again; before, the first attempt was carried out late and the second one found it done. Change: all attempts carry the time at which the forwarding process gives the request up. Result: tests of zinnia-control for cancellations, deadlines and the cell pass.

--- a/crates/zinnia-control/src/gateway.rs
+++ b/crates/zinnia-control/src/gateway.rs
@@ -188,11 +188,12 @@
     /// Sends a request to the leader and retries until `limit` has passed.
     ///
     /// A request answered with [`Answer::Busy`] was certainly not carried out; one answered with
-    /// [`Answer::Unknown`] may have been. A change for a caller that is still on its way when this returns is
-    /// carried out within the timeout of an attempt, or not at all.
+    /// [`Answer::Unknown`] may have been. A change for a caller that is still on its way after `limit` is not
+    /// carried out any more.
     pub async fn request(&self, request: &Request, limit: Duration) -> Answer {
         let mut request = request.clone();
         let deadline = Instant::now() + limit;
+        let given_up_at = clock::now().after(u64::try_from(limit.as_millis()).unwrap_or(u64::MAX));
         let mut maybe_applied = false;
         let mut clock_read = false;
         loop {
@@ -206,7 +207,7 @@
             } else if let Some(addr) = self.next_target() {
                 let left = deadline.saturating_duration_since(Instant::now());
                 let attempt = left.min(attempt_timeout(&request));
-                request.set_deadline(Some(self.leader_deadline(attempt)));
+                request.set_deadline(Some(self.known().leader_clock.deadline(given_up_at)));
                 let answer = self
                     .links
                     .call_with_timeout::<_, Answer>(&addr, "ask", &request, attempt)
@@ -245,12 +246,6 @@
         }
     }
 
-    /// Returns the time `after` from now on the leader's clock.
-    fn leader_deadline(&self, after: Duration) -> LeaderTime {
-        let ms = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
-        self.known().leader_clock.deadline(clock::now().after(ms))
-    }
-
     fn record_leader_time(&self, reading: LeaderTime) {
         self.known().leader_clock = LeaderClock::new(reading, clock::now());
     }
--- a/crates/zinnia-control/src/message.rs
+++ b/crates/zinnia-control/src/message.rs
@@ -27,8 +27,8 @@
     /// Requested action.
     #[serde(rename = "view")]
     pub action: CallerAction,
-    /// When the process that forwards the request gives up this attempt, on the leader's clock. The leader
-    /// does not carry out a change that arrives later. `None` from a build that does not tell.
+    /// When the process that forwards the request gives it up, on the leader's clock. The leader does not carry
+    /// out a change that arrives later. `None` from a build that does not tell.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub deadline: Option<LeaderTime>,
 }
@@ -83,7 +83,7 @@
         }
     }
 
-    /// Sets the deadline of an attempt, if the request may be carried out too late.
+    /// Sets the deadline, if the request may be carried out too late.
     pub(crate) fn set_deadline(&mut self, deadline: Option<LeaderTime>) {
         if let Self::Caller(request) = self
             && request.action != CallerAction::Get
