--- a/crates/zinnia-plan/src/backlog.rs
+++ b/crates/zinnia-plan/src/backlog.rs
@@ -8,6 +8,11 @@
 use crate::Resources;
 use crate::State;
 use crate::Status;
+use crate::Step;
+use crate::StepId;
+use crate::StepState;
+use crate::feasibility::Feasibility;
+use crate::feasibility::Prospect;
 
 /// Resources multiplied by milliseconds of run time.
 #[derive(Clone, Copy, Debug, Default)]
@@ -60,8 +65,18 @@
 /// keep out all others.
 const MAX_ESTIMATE_MS: u64 = 60_000;
 
+/// Waiting work of one team in one pool and priority.
+#[derive(Clone, Copy, Debug, Default)]
+struct WaitingWork {
+    /// Work that starts as resources become free.
+    startable: Work,
+    /// Work that waits for a placement policy which does not answer. Only jobs that need the policy, too, wait
+    /// behind it.
+    unanswered: Work,
+}
+
 /// Work of one team in one pool, by priority of the queue.
-type TeamWork = BTreeMap<u32, Work>;
+type TeamWork = BTreeMap<u32, WaitingWork>;
 
 /// Estimated work of the tasks that are due and wait for a worker.
 #[derive(Clone, Debug, Default)]
@@ -73,38 +88,84 @@
 }
 
 impl Backlog {
-    /// Adds up the waiting work.
+    /// Adds up the waiting work. Takes all workers that are not about to shut down for present.
     pub fn new(state: &State, wall_ms: i64) -> Self {
+        let feasibility = Feasibility::of_state(state);
+        Self::with_prospects(state, wall_ms, |_, job, queue, step| {
+            feasibility.prospect(job, queue, step, None)
+        })
+    }
+
+    /// Adds up the waiting work that could start. `prospect` tells whether a step could.
+    pub(crate) fn with_prospects(
+        state: &State,
+        wall_ms: i64,
+        prospect: impl Fn(StepId, &Job, &Queue, &Step) -> Prospect,
+    ) -> Self {
         let mut backlog = Self::default();
         for worker in state.workers.values().filter(|w| !w.left && !w.draining) {
             let pool = worker.incarnation.pool.clone();
             let capacity = backlog.capacities.entry(pool).or_default();
             *capacity = capacity.plus(&worker.incarnation.resources);
         }
-        let open = state.live.iter().filter_map(|id| state.jobs.get(id));
-        for job in open.filter(|j| j.status == Status::Open) {
-            if let Some(queue) = state.queue_of(job) {
-                backlog.add_job(job, queue, wall_ms);
+        let open = state
+            .live
+            .iter()
+            .filter_map(|id| Some((*id, state.jobs.get(id)?)));
+        for (id, job) in open.filter(|(_, j)| j.status == Status::Open) {
+            let Some(queue) = state.queue_of(job) else {
+                continue;
+            };
+            for (round, steps) in (0..).zip(&job.rounds) {
+                if job.due_ms(round) > wall_ms {
+                    break;
+                }
+                let prospect = |step: u32, spec: &Step| {
+                    let id = StepId {
+                        job: id,
+                        round,
+                        step,
+                    };
+                    prospect(id, job, queue, spec)
+                };
+                backlog.add_round(job, queue, steps, prospect);
             }
         }
         backlog
     }
 
-    fn add_job(&mut self, job: &Job, queue: &Queue, wall_ms: i64) {
+    /// Adds the waiting tasks of one round of a job. A step has no better prospect than those that it depends on.
+    fn add_round(
+        &mut self,
+        job: &Job,
+        queue: &Queue,
+        steps: &[StepState],
+        prospect: impl Fn(u32, &Step) -> Prospect,
+    ) {
         let teams = self.pools.entry(queue.pool.clone()).or_default();
         let by_priority = teams.entry(job.team.clone()).or_default();
         let team_work = by_priority.entry(queue.priority).or_default();
-        let due = (0..)
-            .zip(&job.rounds)
-            .filter(|(r, _)| job.due_ms(*r) <= wall_ms);
-        for (step, state) in due.flat_map(|(_, steps)| job.spec.steps.iter().zip(steps)) {
+        let mut prospects: Vec<Prospect> = Vec::with_capacity(steps.len());
+        for (index, (step, state)) in (0..).zip(job.spec.steps.iter().zip(steps)) {
+            let settled = u64::from(state.done) + u64::from(state.assigned);
+            let tasks = u64::from(step.count).saturating_sub(settled);
+            let own = match tasks {
+                0 => Prospect::Startable,
+                _ => prospect(index, step),
+            };
+            let before = step.depends_on.iter().filter_map(|&s| prospects.get(s));
+            let prospect = before.copied().fold(own, Prospect::max);
+            prospects.push(prospect);
             if step.long_running {
                 continue;
             }
-            let settled = u64::from(state.done) + u64::from(state.assigned);
-            let tasks = u64::from(step.count).saturating_sub(settled);
             let ms = step.estimate_ms.min(MAX_ESTIMATE_MS);
-            team_work.add(Work::of_tasks(&step.demand(), tasks, ms));
+            let work = Work::of_tasks(&step.demand(), tasks, ms);
+            match prospect {
+                Prospect::Startable => team_work.startable.add(work),
+                Prospect::Unanswered => team_work.unanswered.add(work),
+                Prospect::Infeasible => {}
+            }
         }
     }
 
@@ -124,7 +185,10 @@
             let cap = document.team(name).map(|t| t.cap).unwrap_or_default();
             let mut work = Work::default();
             for (_, of_priority) in by_priority.range(..=queue.priority) {
-                work.add(*of_priority);
+                work.add(of_priority.startable);
+                if queue.policy.is_some() {
+                    work.add(of_priority.unanswered);
+                }
             }
             all.add(work.within(&cap, limit_ms));
             if name == team {
--- a/crates/zinnia-plan/src/capacity.rs
+++ b/crates/zinnia-plan/src/capacity.rs
@@ -16,6 +16,8 @@
     pub(crate) domain: u64,
     /// Resources that no run uses.
     pub(crate) free: Resources,
+    /// Resources that tasks to last use, which no other task can wait for.
+    pub(crate) lasting: Resources,
     /// Resources reserved for waiting gangs; they may still be in use.
     pub(crate) reserved: Resources,
     /// Free resources that are not covered by an open query to the placement policy.
@@ -37,14 +39,16 @@
         self.free.minus(&self.reserved)
     }
 
+    /// Resources that will be free once all tasks that end have ended, less what is reserved.
+    pub(crate) fn attainable(&self) -> Resources {
+        let total = self.worker.incarnation.resources;
+        total.minus(&self.lasting).minus(&self.reserved)
+    }
+
     /// Number of tasks of the step for which there are enough resources.
     pub(crate) fn slots(&self, step: &Step) -> usize {
-        let (free, need) = (self.unreserved(), step.demand());
-        let fitting = |free: u64, need: u64| free.checked_div(need).unwrap_or(u64::MAX);
-        let slots = fitting(free.cpu, need.cpu)
-            .min(fitting(free.mem, need.mem))
-            .min(fitting(free.gpu, need.gpu))
-            .min(u64::from(step.max_per_worker()));
+        let fitting = self.unreserved().count_of(&step.demand());
+        let slots = fitting.min(u64::from(step.max_per_worker()));
         usize::try_from(slots).unwrap_or(usize::MAX)
     }
 }
@@ -91,6 +95,7 @@
             worker,
             domain: 0,
             free,
+            lasting: Resources::default(),
             reserved: Resources::default(),
             unqueried: free,
             best_effort: worker.best_effort > 0,
--- /dev/null
+++ b/crates/zinnia-plan/src/feasibility.rs
@@ -0,0 +1,183 @@
+//! Which waiting work could start at all.
+//!
+//! Some work cannot start however long it waits: no worker has the resources, the workers of a pool together
+//! cannot hold a gang, the policy allows too few of them, or tasks that last fill them or the limit of the team.
+//! A worker that joins, goes or ends a lasting task may change that. Until then such work must not keep resources
+//! from other work, and a new job does not wait for it.
+
+use std::collections::BTreeMap;
+
+use zinnia_types::Time;
+
+use crate::Job;
+use crate::Leader;
+use crate::Queue;
+use crate::Resources;
+use crate::State;
+use crate::Step;
+use crate::Worker;
+use crate::policy::PolicyDecisions;
+use crate::worker_index::WorkerIndex;
+
+/// Whether a waiting step could start, best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Prospect {
+    /// Once tasks that end have ended.
+    Startable,
+    /// Once the policy answers, which it does not do now.
+    Unanswered,
+    /// Not with the workers, limits and lasting tasks of now.
+    Infeasible,
+}
+
+/// A worker with what it has for tasks that end.
+struct Room<'a> {
+    worker: &'a Worker,
+    /// `None` without a leader that has numbered the worker.
+    index: Option<WorkerIndex>,
+    free: Resources,
+}
+
+impl Room<'_> {
+    /// Number of tasks of the step that the worker can hold.
+    fn slots(&self, step: &Step, decisions: Option<&PolicyDecisions>) -> u64 {
+        let incarnation = &self.worker.incarnation;
+        let is_denied = |index| decisions.is_some_and(|d| d.denied.contains(&index));
+        let is_match = incarnation.resources.fits(&step.resources)
+            && !(step.best_effort && self.worker.services > 0)
+            && (step.label.is_empty() || incarnation.labels.contains(&step.label))
+            && !self.index.is_some_and(is_denied);
+        match is_match {
+            true => u64::from(step.max_per_worker()).min(self.free.count_of(&step.demand())),
+            false => 0,
+        }
+    }
+}
+
+/// What the workers could hold once all tasks that end have ended.
+pub(crate) struct Feasibility<'a> {
+    state: &'a State,
+    /// Workers of each pool.
+    rooms: BTreeMap<&'a str, Vec<Room<'a>>>,
+    /// Resources that tasks to last use, by worker and by team.
+    by_worker: BTreeMap<&'a str, Resources>,
+    by_team: BTreeMap<&'a str, Resources>,
+}
+
+impl<'a> Feasibility<'a> {
+    /// Takes all workers that are not about to shut down for present.
+    pub(crate) fn of_state(state: &'a State) -> Self {
+        Self::new(state, |_| Some(None))
+    }
+
+    /// `find` returns the number of a worker, if it has one, and `None` for a worker that is absent.
+    fn new(state: &'a State, find: impl Fn(&str) -> Option<Option<WorkerIndex>>) -> Self {
+        let mut feasibility = Self {
+            state,
+            rooms: BTreeMap::new(),
+            by_worker: BTreeMap::new(),
+            by_team: BTreeMap::new(),
+        };
+        feasibility.add_lasting_tasks();
+        let workers = state.workers.iter();
+        for (name, worker) in workers.filter(|(_, w)| !w.left && !w.draining) {
+            let Some(index) = find(name) else {
+                continue;
+            };
+            let lasting = feasibility.lasting_on(name);
+            let room = Room {
+                worker,
+                index,
+                free: worker.incarnation.resources.minus(&lasting),
+            };
+            let pool = worker.incarnation.pool.as_str();
+            feasibility.rooms.entry(pool).or_default().push(room);
+        }
+        feasibility
+    }
+
+    fn add_lasting_tasks(&mut self) {
+        let jobs = self.state.live.iter();
+        let jobs = jobs.filter_map(|id| self.state.jobs.get(id));
+        for job in jobs.filter(|j| j.spec.steps.iter().any(|s| s.long_running)) {
+            let steps = job.rounds.iter().flat_map(|r| job.spec.steps.iter().zip(r));
+            for (step, tasks) in steps.filter(|(step, _)| step.long_running) {
+                let demand = step.demand();
+                for name in tasks.tasks.iter().filter_map(|t| t.worker.as_deref()) {
+                    let used = self.by_worker.entry(name).or_default();
+                    *used = used.plus(&demand);
+                    let used = self.by_team.entry(&job.team).or_default();
+                    *used = used.plus(&step.resources);
+                }
+            }
+        }
+    }
+
+    /// Resources that tasks to last use on a worker.
+    pub(crate) fn lasting_on(&self, worker: &str) -> Resources {
+        self.by_worker.get(worker).copied().unwrap_or_default()
+    }
+
+    /// Whether a task of the step, or the whole gang, could start once all tasks that end have ended.
+    /// `decisions` are those of the policy, if the queue has one.
+    pub(crate) fn can_start(
+        &self,
+        job: &Job,
+        queue: &Queue,
+        step: &Step,
+        decisions: Option<&PolicyDecisions>,
+    ) -> bool {
+        let count = if step.gang { u64::from(step.count) } else { 1 };
+        if !self.is_within_limit(&job.team, &step.resources.times(count)) {
+            return false;
+        }
+        let rooms = self.rooms.get(queue.pool.as_str()).map(Vec::as_slice);
+        let mut slots = rooms
+            .unwrap_or_default()
+            .iter()
+            .map(|room| room.slots(step, decisions));
+        let mut held = 0_u64;
+        slots.any(|n| {
+            held = held.saturating_add(n);
+            held >= count
+        })
+    }
+
+    /// Whether the step could start, also considering whether the policy answers.
+    pub(crate) fn prospect(
+        &self,
+        job: &Job,
+        queue: &Queue,
+        step: &Step,
+        decisions: Option<&PolicyDecisions>,
+    ) -> Prospect {
+        if !self.can_start(job, queue, step, decisions) {
+            return Prospect::Infeasible;
+        }
+        match decisions.is_some_and(|d| d.is_failing) {
+            true => Prospect::Unanswered,
+            false => Prospect::Startable,
+        }
+    }
+
+    fn is_within_limit(&self, team: &str, need: &Resources) -> bool {
+        let lasting = self.by_team.get(team).copied().unwrap_or_default();
+        let need = need.plus(&lasting);
+        let below = |cap: u64, need: u64| cap == 0 || need <= cap;
+        self.state.team(team).is_none_or(|t| {
+            below(t.cap.cpu, need.cpu) && below(t.cap.mem, need.mem) && below(t.cap.gpu, need.gpu)
+        })
+    }
+}
+
+impl Leader {
+    /// What the workers that answer could hold. A new leader takes all of them for present at first.
+    pub(crate) fn feasibility<'a>(&self, state: &'a State, now: Time) -> Feasibility<'a> {
+        let silence_ms = self.settings.silence_ms;
+        Feasibility::new(state, |name| {
+            let view = self.views.get(name)?;
+            let last_heard = view.last_heard.max(self.term_start);
+            (now.since(last_heard) < silence_ms).then_some(Some(view.index))
+        })
+    }
+}
--- a/crates/zinnia-plan/src/gang.rs
+++ b/crates/zinnia-plan/src/gang.rs
@@ -62,7 +62,9 @@
             self.start_gang(waiting, &choice, plan);
             return None;
         }
-        self.reserve(waiting, &choice);
+        if !decisions.is_failing {
+            self.reserve(waiting, &choice);
+        }
         choice.dedup();
         let expiring = self.expiring_tickets(decisions, choice, policy);
         let purpose = waiting.query_purpose(decisions);
@@ -95,7 +97,9 @@
         let eligible_workers = self.eligible_workers(waiting);
         let mut granted = eligible_workers.clone();
         granted.retain(|w| decisions.granted.contains(w));
-        self.reserve_for_gang(waiting, &granted);
+        if !decisions.is_failing {
+            self.reserve_for_gang(waiting, &granted);
+        }
         let mut undecided = self.undecided_workers(waiting, decisions, eligible_workers);
         if undecided.is_empty() {
             let expiring = self.expiring_tickets(decisions, granted, policy);
@@ -169,21 +173,24 @@
 
     /// Reserves resources for a waiting gang, since smaller tasks would otherwise take whatever
     /// becomes free. Of workers that suit equally well, those with the most free resources are used.
+    ///
+    /// Nothing is reserved for a part of a gang: the rest may never become free, and the part would stay idle.
     fn reserve_for_gang(&mut self, waiting: &WaitingStep<'a>, workers: &[WorkerIndex]) {
         if !self.may_reserve(waiting) {
             return;
         }
-        let reservations = self.gang_reservations.entry(&waiting.queue.pool);
-        *reservations.or_default() += 1;
         let mut workers = workers.to_vec();
         workers.sort_by_cached_key(|w| {
             let capacity = self.capacities.get(*w);
             let suitability = capacity.and_then(|c| self.suitability(waiting, c));
             suitability.map(|s| (s.data_remote, s.mixed_load, Reverse(s.free)))
         });
-        let chosen = self.fit_members(waiting, workers.into_iter(), |c| {
-            c.worker.incarnation.resources.minus(&c.reserved)
-        });
+        let chosen = self.fit_members(waiting, workers.into_iter(), WorkerCapacity::attainable);
+        if chosen.len() < waiting.state.tasks.len() {
+            return;
+        }
+        let reservations = self.gang_reservations.entry(&waiting.queue.pool);
+        *reservations.or_default() += 1;
         self.reserve(waiting, &chosen);
     }
 
--- a/crates/zinnia-plan/src/headroom.rs
+++ b/crates/zinnia-plan/src/headroom.rs
@@ -10,13 +10,13 @@
 
 use zinnia_types::Time;
 
-use crate::Job;
 use crate::Leader;
 use crate::Queue;
 use crate::Resources;
 use crate::Route;
 use crate::State;
 use crate::Status;
+use crate::feasibility::Feasibility;
 use crate::placement::PlacementPass;
 use crate::waiting::WaitingStep;
 
@@ -122,17 +122,27 @@
 
 impl Leader {
     /// Records the demand of each team's urgent jobs.
-    pub(crate) fn update_urgent_teams(&mut self, state: &State, now: Time) {
+    pub(crate) fn update_urgent_teams(
+        &mut self,
+        state: &State,
+        feasibility: &Feasibility<'_>,
+        now: Time,
+    ) {
         let queues = state.queues().filter(|q| q.is_urgent());
-        let urgent: BTreeSet<Route> = queues.map(Queue::route).collect();
-        let is_urgent = |job: &&Job| job.route.as_ref().is_some_and(|r| urgent.contains(r));
+        let urgent: BTreeMap<Route, &Queue> = queues.map(|q| (q.route(), q)).collect();
         let mut demands: BTreeMap<&str, CurrentDemand> = BTreeMap::new();
         let live = state.live.iter().filter_map(|id| state.jobs.get(id));
-        for job in live.filter(|j| j.status == Status::Open).filter(is_urgent) {
+        for job in live.filter(|j| j.status == Status::Open) {
+            let Some(queue) = job.route.as_ref().and_then(|r| urgent.get(r)) else {
+                continue;
+            };
             let demand = demands.entry(&job.team).or_default();
             for (step, tasks) in job.ready_steps(state.at_ms) {
-                let open = u64::from(step.count).saturating_sub(u64::from(tasks.done));
                 let running = u64::from(tasks.assigned);
+                let open = match feasibility.can_start(job, queue, step, None) {
+                    true => u64::from(step.count).saturating_sub(u64::from(tasks.done)),
+                    false => running,
+                };
                 demand.total = demand.total.plus(&step.resources.times(open));
                 demand.used = demand.used.plus(&step.resources.times(running));
             }
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -125,6 +125,7 @@
         now: Time,
         wall_ms: i64,
     ) -> Plan {
+        let feasibility = self.feasibility(state, now);
         let mut plan = Plan {
             query_budget,
             lease_changes: LeaseChanges {
@@ -139,7 +140,7 @@
         {
             self.last_check = Some(now);
             self.update_views(state, now);
-            self.update_urgent_teams(state, now);
+            self.update_urgent_teams(state, &feasibility, now);
             self.report_silent(state, now, &mut plan);
             self.expire_leases(state, now, &mut plan);
             self.stop_renewals(state, now, &mut plan);
@@ -151,11 +152,14 @@
         let is_due = |at: Time| now.since(at) >= BACKLOG_INTERVAL_MS;
         if self.backlog_at.is_none_or(is_due) {
             self.backlog_at = Some(now);
-            self.backlog = Backlog::new(state, wall_ms);
+            let decisions = &self.decisions;
+            self.backlog = Backlog::with_prospects(state, wall_ms, |id, job, queue, step| {
+                feasibility.prospect(job, queue, step, decisions.get(&id))
+            });
         }
         self.poll_workers(state, now, &mut plan);
         if starts {
-            self.place(state, now, wall_ms, &mut plan);
+            self.place(state, &feasibility, now, wall_ms, &mut plan);
         }
         plan
     }
--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -13,6 +13,7 @@
 mod capacity;
 mod crash;
 mod document;
+mod feasibility;
 mod gang;
 mod headroom;
 mod heartbeat;
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -14,6 +14,7 @@
 use crate::TaskId;
 use crate::WaitingSteps;
 use crate::capacity::Capacities;
+use crate::feasibility::Feasibility;
 use crate::headroom::UrgentWork;
 use crate::lease;
 use crate::policy::PolicyDecisions;
@@ -47,7 +48,14 @@
 impl Leader {
     /// Plans starts for waiting tasks, ordered by queue priority and job age. Within a priority, jobs
     /// that can still end in time go before those that have expired.
-    pub(crate) fn place(&mut self, state: &State, now: Time, wall_ms: i64, plan: &mut Plan) {
+    pub(crate) fn place(
+        &mut self,
+        state: &State,
+        feasibility: &Feasibility<'_>,
+        now: Time,
+        wall_ms: i64,
+        plan: &mut Plan,
+    ) {
         let mut report = WaitingSteps::default();
         let mut waiting = waiting_steps(state, wall_ms);
         if waiting.is_empty() {
@@ -55,7 +63,7 @@
             return;
         }
         waiting.sort_by_key(|d| (d.queue.priority, d.expired, d.job.accepted_ms, d.id));
-        let mut capacities = self.worker_capacities(state, now);
+        let mut capacities = self.worker_capacities(state, feasibility, now);
         mark_suspects(&mut capacities, &self.indices, state, wall_ms);
         let mut pass = PlacementPass {
             state,
@@ -68,7 +76,7 @@
             wall_ms,
         };
         for step in &waiting {
-            if let Some(reason) = pass.place_step(&mut self.decisions, step, plan) {
+            if let Some(reason) = pass.place_step(feasibility, &mut self.decisions, step, plan) {
                 report.add(step, reason, wall_ms);
             }
         }
@@ -76,7 +84,12 @@
     }
 
     /// Returns the free capacity of all workers that accept tasks.
-    fn worker_capacities<'a>(&mut self, state: &'a State, now: Time) -> Capacities<'a> {
+    fn worker_capacities<'a>(
+        &mut self,
+        state: &'a State,
+        feasibility: &Feasibility<'_>,
+        now: Time,
+    ) -> Capacities<'a> {
         let mut capacities = Capacities::new(self.indices.len());
         let longest_ms = lease::max_duration_ms(self.settings.lease_ms);
         for (name, view, worker) in current_workers(&mut self.views, state) {
@@ -90,6 +103,7 @@
                 capacities.insert(view.index, name, worker);
                 if let Some(capacity) = capacities.get_mut(view.index) {
                     capacity.long_lease = view.remaining_lease_ms(now) > longest_ms;
+                    capacity.lasting = feasibility.lasting_on(name);
                 }
             }
         }
@@ -146,6 +160,7 @@
     /// Places what can be placed of a step. Returns why the rest waits, if there is any.
     fn place_step(
         &mut self,
+        feasibility: &Feasibility<'_>,
         decisions: &mut Decisions,
         waiting: &WaitingStep<'a>,
         plan: &mut Plan,
@@ -153,6 +168,10 @@
         if self.must_leave_headroom(waiting) {
             return Some(WaitReason::Headroom);
         }
+        let known = decisions.get(&waiting.id);
+        if !feasibility.can_start(waiting.job, waiting.queue, waiting.step, known) {
+            return Some(WaitReason::Infeasible);
+        }
         match waiting.queue.policy {
             Some(policy) => {
                 let decisions = decisions.entry(waiting.id).or_default();
--- a/crates/zinnia-plan/src/policy.rs
+++ b/crates/zinnia-plan/src/policy.rs
@@ -102,6 +102,9 @@
     /// Workers in open queries, in the order of the queries.
     pub(crate) queried: Vec<WorkerIndex>,
     pub(crate) retry_at: Time,
+    /// Whether the latest query failed. Nothing is reserved for work that waits for a policy which does not
+    /// answer.
+    pub(crate) is_failing: bool,
 }
 
 impl PolicyDecisions {
@@ -184,6 +187,7 @@
             .filter_map(|w| indices.get(w))
             .collect();
         self.queried.retain(|w| !workers.contains(w));
+        self.is_failing = granted.is_none();
         let Some(granted) = granted else {
             self.retry_at = now.after(QUERY_RETRY_MS);
             return;
--- a/crates/zinnia-plan/src/spec.rs
+++ b/crates/zinnia-plan/src/spec.rs
@@ -44,6 +44,14 @@
         }
     }
 
+    /// How many times `need` fits in these resources.
+    pub(crate) fn count_of(&self, need: &Self) -> u64 {
+        let count = |free: u64, need: u64| free.checked_div(need).unwrap_or(u64::MAX);
+        count(self.cpu, need.cpu)
+            .min(count(self.mem, need.mem))
+            .min(count(self.gpu, need.gpu))
+    }
+
     /// The larger amount of each resource.
     pub(crate) fn max(&self, other: &Self) -> Self {
         Self {
--- a/crates/zinnia-plan/src/wait_reason.rs
+++ b/crates/zinnia-plan/src/wait_reason.rs
@@ -18,16 +18,20 @@
     QueryBudget,
     /// No worker that may run it has enough free resources.
     Capacity,
+    /// It could not start if all tasks ended: the workers that may run it, or the limit of its team, are too
+    /// small.
+    Infeasible,
 }
 
 impl WaitReason {
     /// All reasons.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Headroom,
         Self::TeamLimit,
         Self::OpenQuery,
         Self::QueryBudget,
         Self::Capacity,
+        Self::Infeasible,
     ];
 
     /// Name in logs and metrics.
@@ -38,6 +42,7 @@
             Self::OpenQuery => "open_query",
             Self::QueryBudget => "query_budget",
             Self::Capacity => "capacity",
+            Self::Infeasible => "infeasible",
         }
     }
 }
--- a/crates/zinnia-plan/tests/placement.rs
+++ b/crates/zinnia-plan/tests/placement.rs
@@ -395,6 +395,8 @@
         name: &'static str,
         cap: u64,
         worker_cpu: u64,
+        /// Processor time that a task takes which was started before.
+        busy_cpu: u64,
         policy: Option<Policy>,
         reason: Option<WaitReason>,
     }
@@ -403,27 +405,47 @@
             name: "starts",
             cap: 0,
             worker_cpu: 4_000,
+            busy_cpu: 0,
             policy: None,
             reason: None,
         },
         Case {
             name: "team limit",
-            cap: 1_000,
+            cap: 3_000,
             worker_cpu: 4_000,
+            busy_cpu: 1_500,
             policy: None,
             reason: Some(WaitReason::TeamLimit),
         },
+        Case {
+            name: "a team limit that never allows it",
+            cap: 1_000,
+            worker_cpu: 4_000,
+            busy_cpu: 0,
+            policy: None,
+            reason: Some(WaitReason::Infeasible),
+        },
+        Case {
+            name: "no worker has enough free resources",
+            cap: 0,
+            worker_cpu: 3_000,
+            busy_cpu: 1_500,
+            policy: None,
+            reason: Some(WaitReason::Capacity),
+        },
         Case {
             name: "no worker is large enough",
             cap: 0,
             worker_cpu: 1_000,
+            busy_cpu: 0,
             policy: None,
-            reason: Some(WaitReason::Capacity),
+            reason: Some(WaitReason::Infeasible),
         },
         Case {
             name: "the policy is queried",
             cap: 0,
             worker_cpu: 4_000,
+            busy_cpu: 0,
             policy: Some(POLICY),
             reason: Some(WaitReason::OpenQuery),
         },
@@ -433,6 +455,10 @@
         doc.teams[0].cap.cpu = case.cap;
         let mut sim = Simulation::new(doc);
         sim.add_worker(&incarnation("w", case.worker_cpu));
+        if case.busy_cpu > 0 {
+            sim.submit_to("quick", 2, job(vec![step(1, case.busy_cpu)]));
+            assert_eq!(sim.start_tasks().len(), 1, "{}", case.name);
+        }
         sim.submit(job(vec![step(1, 2_000)]));
         let waiting = sim.plan().waiting.expect("the pass may start tasks");
         let oldest = waiting.oldest.map(|o| o.reason);
