--- a/crates/zinnia-plan/src/heartbeat.rs
+++ b/crates/zinnia-plan/src/heartbeat.rs
@@ -68,6 +68,18 @@
     }
 }
 
+impl State {
+    /// Whether a heartbeat of this incarnation may register it, or is one of the current incarnation.
+    ///
+    /// Another writer may use the name of a worker. A pool that no document names has no workers, so such a
+    /// heartbeat must not take the place of one.
+    pub fn may_register(&self, incarnation: &Incarnation) -> bool {
+        let known = self.workers.get(&incarnation.worker);
+        let is_current = known.is_some_and(|w| w.incarnation.born == incarnation.born);
+        is_current || self.names_pool(&incarnation.pool)
+    }
+}
+
 impl Leader {
     /// Processes a heartbeat; returns the records to propose.
     pub fn heartbeat(&mut self, state: &State, heartbeat: &Heartbeat, now: Time) -> Vec<Record> {
@@ -79,6 +91,9 @@
         }) {
             return Vec::new();
         }
+        if !state.may_register(incarnation) {
+            return Vec::new();
+        }
         let view = self.view(state, &incarnation.worker, incarnation.born, now);
         if view.born != incarnation.born || !view.accept_sequence(heartbeat.sequence, now) {
             return Vec::new();
--- a/crates/zinnia-plan/src/retired.rs
+++ b/crates/zinnia-plan/src/retired.rs
@@ -50,6 +50,14 @@
         self.document.team(name).or_else(retired)
     }
 
+    /// Whether the document, or a removed queue that has open jobs, names a pool. Without a document any may be
+    /// named yet.
+    pub(crate) fn names_pool(&self, name: &str) -> bool {
+        let mut pools = self.document.pools.iter().map(|p| p.name.as_str());
+        let mut retired = self.retired.queues.iter().map(|q| q.pool.as_str());
+        self.document.version == 0 || pools.any(|p| p == name) || retired.any(|p| p == name)
+    }
+
     /// Queues of the document, and removed ones that have open jobs.
     pub(crate) fn queues(&self) -> impl Iterator<Item = &Queue> {
         self.document.queues.iter().chain(&self.retired.queues)
--- a/crates/zinnia-plan/tests/heartbeat.rs
+++ b/crates/zinnia-plan/tests/heartbeat.rs
@@ -352,3 +352,87 @@
     sim.heartbeat(&incarnation("w", 1_000), 1, false);
     assert_eq!(sim.state.workers["w"].incarnation.resources.cpu, 1_000);
 }
+
+/// Guards against a heartbeat of another writer, of a pool that no document names, that takes the place of the
+/// worker whose name it has; and against workers that are kept out although their pool is named.
+#[test]
+fn heartbeat_of_an_unnamed_pool_takes_no_workers_place() {
+    struct Case {
+        name: &'static str,
+        pool: &'static str,
+        worker: &'static str,
+        born: i64,
+        draining: bool,
+        /// Whether the document names the pools.
+        has_document: bool,
+        records: usize,
+    }
+    let case = Case {
+        name: "",
+        pool: "kiosk",
+        worker: "w",
+        born: 9,
+        draining: false,
+        has_document: true,
+        records: 0,
+    };
+    let cases = [
+        Case {
+            name: "with the name of a worker",
+            ..case
+        },
+        Case {
+            name: "with a name of its own",
+            worker: "v",
+            ..case
+        },
+        Case {
+            name: "a new incarnation in a named pool",
+            pool: "desk",
+            records: 1,
+            ..case
+        },
+        Case {
+            name: "before the first document",
+            worker: "v",
+            has_document: false,
+            records: 1,
+            ..case
+        },
+        Case {
+            name: "the worker itself, whose pool was removed, drains",
+            born: 1,
+            draining: true,
+            records: 1,
+            ..case
+        },
+    ];
+    for case in cases {
+        let mut sim = Simulation::new(document(None));
+        sim.add_worker(&incarnation("w", 4_000));
+        if !case.has_document {
+            sim.state.document = zinnia_plan::Document::default();
+        }
+        let sent = heartbeat(
+            Incarnation {
+                pool: case.pool.to_owned(),
+                born: case.born,
+                ..incarnation(case.worker, 4_000)
+            },
+            case.draining,
+        );
+        let records = sim.leader.heartbeat(&sim.state, &sent, Time(sim.now));
+        assert_eq!(records.len(), case.records, "{}", case.name);
+        if case.records > 0 {
+            continue;
+        }
+        sim.heartbeat(&incarnation("w", 4_000), 3, false);
+        sim.submit(job(vec![step(1, 1_000)]));
+        assert_eq!(
+            sim.start_tasks().len(),
+            1,
+            "{}: the worker works",
+            case.name
+        );
+    }
+}
