--- a/crates/zinnia-control/tests/large_document.rs
+++ b/crates/zinnia-control/tests/large_document.rs
@@ -6,6 +6,7 @@
 
 use common::Cell;
 use common::document;
+use common::wait_for_answer;
 use zinnia_control::Answer;
 use zinnia_control::Request;
 use zinnia_plan::Queue;
@@ -70,3 +71,31 @@
         assert_eq!(is_read, case.is_accepted, "{}", case.name);
     }
 }
+
+/// Guards against members that run out of memory by large changes of the document: the log was compacted by the
+/// number of its entries only, and keeps entries in memory until then.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn large_changes_compact_the_log() {
+    const CHANGES: u64 = 60;
+    const CHANGE_BYTES: usize = 1 << 20;
+    /// Entries of this size that members may keep in memory: 32 MiB until the compaction, 8 MiB after it, and
+    /// those that arrive meanwhile.
+    const MAX_ENTRIES: u64 = 32 + 8 + 8;
+    let cell = Cell::start().await;
+    for version in 2..2 + CHANGES {
+        let publish = Request::Publish {
+            raw: version.to_string().repeat(CHANGE_BYTES / 2),
+            document: zinnia_plan::Document {
+                version,
+                ..document()
+            },
+        };
+        wait_for_answer(&cell.client.gateway, &publish, &Answer::Done).await;
+        for member in &cell.members {
+            let node = &member.dump()["member"]["log"]["node"];
+            let index = |name: &str| node[name].as_u64().unwrap_or(u64::MAX);
+            let kept = index("last").saturating_sub(index("base"));
+            assert!(kept <= MAX_ENTRIES, "change {version}: {kept} entries");
+        }
+    }
+}
--- a/crates/zinnia-raft/src/log.rs
+++ b/crates/zinnia-raft/src/log.rs
@@ -166,11 +166,28 @@
         found
     }
 
-    /// Records a local snapshot and removes the entries more than `retained` before it.
-    pub(crate) fn compact(&mut self, snapshot: Snapshot, retained: u64) {
-        let keep_from = snapshot.index.saturating_sub(retained);
+    /// Records a local snapshot. Of the entries that it covers, at most the last `retained` stay, and at most
+    /// `bytes` of them.
+    pub(crate) fn compact(&mut self, snapshot: Snapshot, retained: u64, bytes: usize) {
+        let first = snapshot.index.saturating_sub(retained);
+        let discarded = self.find_retained(first, snapshot.index, bytes);
         self.snapshot = Arc::new(snapshot);
-        self.discard_through(keep_from);
+        self.discard_through(discarded);
+    }
+
+    /// Returns the lowest index from `first` on such that the entries after it, up to `last`, have at most
+    /// `bytes`.
+    fn find_retained(&self, first: u64, last: u64, bytes: usize) -> u64 {
+        let mut room = bytes;
+        let mut index = last;
+        while index > first
+            && let Some(entry) = self.get(index)
+            && entry.size_estimate() <= room
+        {
+            room -= entry.size_estimate();
+            index -= 1;
+        }
+        index
     }
 
     fn discard_through(&mut self, index: u64) {
--- a/crates/zinnia-raft/src/node.rs
+++ b/crates/zinnia-raft/src/node.rs
@@ -233,7 +233,9 @@
             data,
         };
         self.output.own_snapshot = Some(snapshot.clone());
-        self.log.compact(snapshot, self.settings.retained_entries);
+        let settings = &self.settings;
+        self.log
+            .compact(snapshot, settings.retained_entries, settings.retained_bytes);
     }
 
     /// Orders the results of the step: persist, snapshots, messages, commits, role change.
--- a/crates/zinnia-raft/src/settings.rs
+++ b/crates/zinnia-raft/src/settings.rs
@@ -43,6 +43,8 @@
     pub max_uncommitted: u64,
     /// Number of entries retained before a snapshot, so that a slightly lagging peer needs no snapshot.
     pub retained_entries: u64,
+    /// Maximum bytes of these entries. With large entries, a lagging peer is sent the snapshot instead.
+    pub retained_bytes: usize,
     /// Maximum number of committed entries that a learner may lack when it is promoted.
     pub promote_lag: u64,
 }
@@ -66,6 +68,7 @@
             max_in_flight: 16,
             max_uncommitted: 10_000,
             retained_entries: 256,
+            retained_bytes: 8 << 20,
             promote_lag: 64,
         }
     }
--- a/crates/zinnia-replica/src/replica.rs
+++ b/crates/zinnia-replica/src/replica.rs
@@ -99,7 +99,7 @@
 
 impl<R: Send + 'static> Replica<R> {
     /// Starts the log thread with the state that the store recovered. The log is compacted once
-    /// `compact_entries` entries are applied after the last snapshot.
+    /// `compact_entries` entries are applied after the last snapshot, or fewer large ones.
     ///
     /// # Errors
     ///
@@ -131,6 +131,7 @@
             disk: Disk::start(store, Box::new(report))?,
             hooks,
             compact_entries,
+            uncompacted_bytes: 0,
             inputs: rx,
             applied: applied_tx,
             disk_error: Arc::clone(&disk_error),
--- a/crates/zinnia-replica/src/thread.rs
+++ b/crates/zinnia-replica/src/thread.rs
@@ -43,6 +43,10 @@
 /// Maximum number of inputs per pass. Their entries share one write.
 const MAX_BATCH_INPUTS: usize = 256;
 
+/// Size of the applied entries after which the log is compacted, whatever their number. They stay in memory and on
+/// disk until then.
+const COMPACT_BYTES: usize = 32 << 20;
+
 /// State of the log thread.
 pub(crate) struct LogThread<R> {
     pub(crate) settings: Settings,
@@ -50,6 +54,8 @@
     pub(crate) disk: Disk,
     pub(crate) hooks: Hooks<R>,
     pub(crate) compact_entries: u64,
+    /// Size of the entries that were applied after the last snapshot.
+    pub(crate) uncompacted_bytes: usize,
     pub(crate) inputs: mpsc::Receiver<Input<R>>,
     pub(crate) applied: watch::Sender<u64>,
     pub(crate) disk_error: Arc<Mutex<Option<String>>>,
@@ -317,6 +323,7 @@
         let applied = *self.applied.borrow();
         for entry in entries.iter().filter(|e| e.index > applied) {
             let reply = (self.hooks.apply)(entry);
+            self.uncompacted_bytes += entry.size_estimate();
             if let Some(tx) = self.committed.remove(&entry.index) {
                 let index = entry.index;
                 let _ = tx.send(ProposalOutcome::Applied { index, reply });
@@ -325,17 +332,19 @@
         }
     }
 
-    /// Compacts the log once enough entries are applied after the last snapshot.
+    /// Compacts the log once enough entries, or large ones, are applied after the last snapshot.
     fn compact_if_due(&mut self, actions: &mut Vec<Action>) {
         let index = *self.applied.borrow();
         let is_due = {
             let node = lock(&self.node);
-            let due = node.snapshot_index() + self.compact_entries <= index;
+            let due = node.snapshot_index() + self.compact_entries <= index
+                || self.uncompacted_bytes >= COMPACT_BYTES;
             // After a disk failure, the log may lack entries that are applied.
             due && node.applied_index() >= index && !self.is_offline()
         };
         if is_due && let Some(text) = (self.hooks.take_snapshot)() {
             let data = Data::from(text);
+            self.uncompacted_bytes = 0;
             self.step(Event::Compact { index, data }, actions);
         }
     }
