--- a/crates/zinnia-control/src/requests.rs
+++ b/crates/zinnia-control/src/requests.rs
@@ -112,6 +112,9 @@
             let Some(leader) = cell.leader.as_mut() else {
                 return Answer::Busy(RETRY_AFTER_MS);
             };
+            if !cell.state.may_register(&heartbeat.incarnation) {
+                metrics::counter!("zinnia_unnamed_pool_heartbeats_total").increment(1);
+            }
             leader.heartbeat(&cell.state, heartbeat, clock::now())
         };
         if records.is_empty() {
@@ -258,7 +261,13 @@
         let team = team.map(|t| t.name.clone()).unwrap_or_default();
         let rest = request.path.strip_prefix(&queue.prefix).unwrap_or_default();
         if rest.is_empty() && request.action == CallerAction::Get {
-            return Decision::Answer(Answer::Pending(state.pending(queue)));
+            let answer = cell
+                .leader
+                .as_ref()
+                .map_or(Answer::Busy(RETRY_AFTER_MS), |leader| {
+                    Answer::Pending(leader.pending(state, queue))
+                });
+            return Decision::Answer(answer);
         }
         let Some(id) = job_id(rest) else {
             return Decision::Answer(Answer::NoQueue);
--- a/crates/zinnia-plan/src/crash.rs
+++ b/crates/zinnia-plan/src/crash.rs
@@ -10,9 +10,10 @@
 use crate::TaskId;
 use crate::Worker;
 
-/// Number of runs of a task that may end by a crash of their worker. With the last one the job is
-/// given up, since each further run would take one more worker out of use.
-const MAX_CRASHES: usize = 3;
+/// Least number of runs of a task that may end by a crash of their worker. With the last one the job is
+/// given up, since each further run would take one more worker out of use. It is not given up before as many
+/// crashes as its queue allows failed attempts: a crash shows less than a failed run that the task is at fault.
+const MIN_CRASHES: usize = 3;
 /// Longest time between the start of a task that crashes its worker and the last start there. The
 /// task crashes the worker as it starts; other tasks may still be assigned to the worker until its
 /// silence is noticed, which takes 2.6 s at most. A longer time puts more other tasks under suspicion.
@@ -44,6 +45,13 @@
         self.crashed.range((key, 0)..=(key, u32::MAX)).count()
     }
 
+    /// Number of crashes at which a job is given up.
+    fn max_crashes(&self, id: JobId) -> usize {
+        let queue = self.jobs.get(&id).and_then(|j| self.queue_of(j));
+        let attempts = queue.map_or(0, |q| usize::try_from(q.max_attempts).unwrap_or(0));
+        attempts.max(MIN_CRASHES)
+    }
+
     /// The task under which crashes are counted. Any member of a gang may be the cause of a crash, so
     /// that the gang counts as a whole.
     fn crash_key(&self, id: TaskId) -> TaskId {
@@ -114,7 +122,7 @@
             // A set of runs, since several members of a gang may lose their workers in one run, and
             // the worker of an earlier run may return after that of a later one.
             self.crashed.insert((self.crash_key(id), run));
-            if self.crashes(id) >= MAX_CRASHES {
+            if self.crashes(id) >= self.max_crashes(id.job) {
                 self.end_job(id.job, Status::Failed);
                 given_up.push(id);
             }
--- a/crates/zinnia-plan/src/job.rs
+++ b/crates/zinnia-plan/src/job.rs
@@ -114,6 +114,9 @@
     pub ended_ms: i64,
     /// Whether any task of the job was ever assigned to a worker.
     pub begun: bool,
+    /// Whether a worker has reported the end of a run of the job.
+    #[serde(default)]
+    pub ran: bool,
     /// Number of tasks that are assigned to workers, also after the end of the job.
     #[serde(rename = "placed")]
     pub assigned: u32,
--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -24,6 +24,7 @@
 mod lease;
 mod lease_times;
 mod orders;
+mod pending;
 mod placement;
 mod plan;
 mod policy;
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -359,6 +359,9 @@
 
     fn finish_run(&mut self, worker: &str, end: &End) {
         let id = end.task;
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.ran = true;
+        }
         self.store_checkpoint(id, &end.checkpoint);
         let Some((step, state)) = self.step_mut(id) else {
             return;
@@ -417,14 +420,4 @@
     pub fn step(&self, id: TaskId) -> Option<&Step> {
         self.jobs.get(&id.job)?.spec.steps.get(id.step as usize)
     }
-
-    /// Number of open jobs of a queue of which no task was started yet.
-    pub fn pending(&self, queue: &Queue) -> usize {
-        let is_pending = |id: &&JobId| {
-            self.jobs
-                .get(id)
-                .is_some_and(|j| j.is_of(queue) && !j.begun && j.status == Status::Open)
-        };
-        self.live.iter().filter(is_pending).count()
-    }
 }
--- a/crates/zinnia-plan/tests/crash.rs
+++ b/crates/zinnia-plan/tests/crash.rs
@@ -158,6 +158,34 @@
     }
 }
 
+/// Guards against a job that is shown as failed after fewer crashes of its workers than it may have failed runs.
+#[test]
+fn jobs_are_not_given_up_before_all_attempts() {
+    struct Case {
+        max_attempts: u32,
+        crashes: i64,
+    }
+    let case = |max_attempts, crashes| Case {
+        max_attempts,
+        crashes,
+    };
+    for case in [case(1, 3), case(3, 3), case(4, 4), case(6, 6)] {
+        let mut doc = document(None);
+        doc.queues[0].max_attempts = case.max_attempts;
+        let mut sim = Simulation::new(doc);
+        sim.add_worker(&reborn("w", 1));
+        sim.submit(job(vec![step(1, 1_000)]));
+        for crashes in 1..=case.crashes {
+            assert_eq!(sim.start_tasks().len(), 1, "{}", case.max_attempts);
+            sim.now += RETURN_MS;
+            sim.add_worker(&reborn("w", 1 + crashes));
+            let failed = status(&sim, 1) == Status::Failed;
+            let expected = crashes == case.crashes;
+            assert_eq!(failed, expected, "{}: {crashes}", case.max_attempts);
+        }
+    }
+}
+
 /// Guards against a deadly task that is started once more after its third crash, since the worker of
 /// an earlier run returns only then.
 #[test]
