--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -1,6 +1,7 @@
 //! Placement: assigns waiting tasks to workers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use zinnia_types::Time;
 
@@ -41,6 +42,8 @@
     /// Number of gangs with reserved resources, by pool.
     pub(crate) gang_reservations: BTreeMap<&'a str, usize>,
     pub(crate) urgent: UrgentWork<'a>,
+    /// Tasks of which a worker has a run that is not assigned to it. They start again once it has ended.
+    pub(crate) strays: BTreeSet<TaskId>,
     pub(crate) now: Time,
     pub(crate) wall_ms: i64,
 }
@@ -65,6 +68,8 @@
         waiting.sort_by_key(|d| (d.queue.priority, d.expired, d.job.accepted_ms, d.id));
         let mut capacities = self.worker_capacities(state, feasibility, now);
         mark_suspects(&mut capacities, &self.indices, state, wall_ms);
+        let strays = self.views.values().flat_map(|v| &v.strays);
+        let strays = strays.map(|(task, _)| *task).collect();
         let mut pass = PlacementPass {
             state,
             indices: &self.indices,
@@ -72,6 +77,7 @@
             usage: BTreeMap::new(),
             gang_reservations: BTreeMap::new(),
             urgent: UrgentWork::new(state, &self.urgent_teams),
+            strays,
             now,
             wall_ms,
         };
@@ -97,6 +103,7 @@
                 && view.confirmed_fence == view.fence
                 && !worker.draining
                 && view.failed_calls == 0
+                && view.strays.is_empty()
                 && now >= view.suspect_until
                 && now.since(view.last_heard) < self.settings.silence_ms;
             if usable {
@@ -172,6 +179,9 @@
         if !feasibility.can_start(waiting.job, waiting.queue, waiting.step, known) {
             return Some(WaitReason::Infeasible);
         }
+        if waiting.step.gang && self.has_strays(waiting) {
+            return Some(WaitReason::Capacity);
+        }
         match waiting.queue.policy {
             Some(policy) => {
                 let decisions = decisions.entry(waiting.id).or_default();
@@ -193,6 +203,18 @@
         }
     }
 
+    /// Whether a worker has an unassigned run of a task of the step.
+    fn has_strays(&self, waiting: &WaitingStep<'_>) -> bool {
+        let last = TaskId {
+            index: u32::MAX,
+            ..waiting.task_id(0)
+        };
+        self.strays
+            .range(waiting.task_id(0)..=last)
+            .next()
+            .is_some()
+    }
+
     /// Places the tasks of a step that needs tickets, and queries the policy about further workers.
     fn place_ticketed_tasks(
         &mut self,
@@ -397,6 +419,10 @@
             if task.done || task.worker.is_some() {
                 continue;
             }
+            if self.strays.contains(&waiting.task_id(index)) {
+                unplaced += 1;
+                continue;
+            }
             if !self.within_team_limit(waiting, 1) {
                 return Unplaced::AtLimit;
             }
--- a/crates/zinnia-plan/src/polls.rs
+++ b/crates/zinnia-plan/src/polls.rs
@@ -30,7 +30,7 @@
                 continue;
             }
             let unconfirmed = view.confirmed_fence < view.fence;
-            let is_idle = worker.runs.is_empty();
+            let is_idle = worker.runs.is_empty() && view.strays.is_empty();
             if is_idle && (!unconfirmed || idle_polls >= self.settings.max_idle_polls) {
                 continue;
             }
@@ -110,6 +110,7 @@
         let is_new = |end: &&End| end.number > worker.acked_end;
         let ends: Vec<End> = report.ended.iter().filter(is_new).cloned().collect();
         view.apply_report(report, now);
+        view.find_strays(report, worker);
         let lost_runs = view.lost_runs(poll, report, worker);
         let mut records = Vec::new();
         if let Some(upto) = ends.iter().map(|end| end.number).max() {
@@ -216,6 +217,13 @@
         lost_runs
     }
 
+    /// Records the runs that the worker has without an assignment. A delayed order may start one on an incarnation
+    /// that does not know the fencing token which had settled the order.
+    fn find_strays(&mut self, report: &Report, worker: &Worker) {
+        let running = report.running.iter().map(|r| (r.task, r.run));
+        self.strays = running.filter(|key| !worker.runs.contains(key)).collect();
+    }
+
     /// Reading of the worker's clock when it accepted the start order of a run; `None` if its answer had
     /// none.
     fn accepted_ms(&self, run: (TaskId, u32)) -> Option<u64> {
--- a/crates/zinnia-plan/src/runs.rs
+++ b/crates/zinnia-plan/src/runs.rs
@@ -84,8 +84,8 @@
         }
     }
 
-    /// Stops runs that stalled, are no longer wanted, or whose worker is about to end. The last ones can only
-    /// start elsewhere once they have ended.
+    /// Stops runs that stalled, are no longer wanted or not assigned, or whose worker is about to end. The last ones
+    /// can only start elsewhere once they have ended.
     pub(crate) fn stop_runs(&mut self, state: &State, now: Time, plan: &mut Plan) {
         let retry_ms = self.settings.retry_ms;
         let suspect_ms = self.settings.suspect_ms;
@@ -93,7 +93,8 @@
             view.stop_times
                 .retain(|_, at| now.since(*at) < retry_ms * 4);
             view.orders.retain(|key, _| worker.runs.contains(key));
-            for &(task, run) in &worker.runs {
+            let strays: Vec<_> = view.strays.iter().copied().collect();
+            for &(task, run) in worker.runs.iter().chain(&strays) {
                 let is_due = |at: &Time| now.since(*at) >= retry_ms;
                 let stalled = view
                     .progress
@@ -104,7 +105,8 @@
                     view.suspect_until = view.suspect_until.max(now.after(suspect_ms));
                 }
                 let leaves = worker.left || worker.draining && can_move(state, task);
-                let unwanted = leaves || stalled || !is_wanted(state, task, run);
+                let is_stray = !worker.runs.contains(&(task, run));
+                let unwanted = leaves || stalled || is_stray || !is_wanted(state, task, run);
                 if unwanted && view.stop_times.get(&(task, run)).is_none_or(is_due) {
                     view.stop_times.insert((task, run), now);
                     plan.stops.push(RunOrder {
--- a/crates/zinnia-plan/src/worker_view.rs
+++ b/crates/zinnia-plan/src/worker_view.rs
@@ -157,6 +157,8 @@
     pub(crate) progress: BTreeMap<(TaskId, u32), Progress>,
     /// Runs that the worker has received since the last check.
     pub(crate) new_runs: Vec<(TaskId, u32)>,
+    /// Runs in the latest report that are not assigned to the worker.
+    pub(crate) strays: BTreeSet<(TaskId, u32)>,
     /// When a stop order was last sent for each run.
     pub(crate) stop_times: BTreeMap<(TaskId, u32), Time>,
     /// Jobs with a failed run on this worker since its last successful run.
@@ -198,6 +200,7 @@
             orders: BTreeMap::new(),
             progress: BTreeMap::new(),
             new_runs: Vec::new(),
+            strays: BTreeSet::new(),
             stop_times: BTreeMap::new(),
             failed_jobs: BTreeSet::new(),
             suspect_until: Time(0),
