plan, control: read the membership in one place; find lasting tasks once per check

Cause: Membership was built in two places, KnownCell had lost its Default, and each planning pass went over all live jobs to find the tasks that last. Result: tests of zinnia-plan pass, and those of zinnia-control on members, cancellations, deadlines and the cell; no change of behaviour but for the age of the figures on lasting tasks.

--- a/crates/zinnia-control/src/deadline.rs
+++ b/crates/zinnia-control/src/deadline.rs
@@ -8,8 +8,8 @@
 use serde::Serialize;
 use zinnia_types::Time;
 
-/// A reading of the leader's clock.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// A reading of the leader's clock. The default is that of no leader.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaderTime {
     /// Term of the leader. Each term has one leader, and so one clock.
     pub term: u64,
@@ -24,8 +24,9 @@
     }
 }
 
-/// The leader's clock, as another process knows it.
-#[derive(Clone, Copy, Debug)]
+/// The leader's clock, as another process knows it. The default is a clock that no leader has; a request with a
+/// deadline on it is answered with a reading.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct LeaderClock {
     reading: LeaderTime,
     /// When the reading arrived, on the clock of this process. The leader took it earlier.
@@ -38,15 +39,6 @@
         Self { reading, received }
     }
 
-    /// A clock that no leader has. A request with a deadline on it is answered with a reading.
-    pub fn unknown() -> Self {
-        let reading = LeaderTime {
-            term: 0,
-            at: Time(0),
-        };
-        Self::new(reading, Time(0))
-    }
-
     /// What the leader's clock shows at `at` of this process, or earlier: by the time for which the reading was
     /// on its way, the clock shows more.
     pub fn deadline(&self, at: Time) -> LeaderTime {
--- a/crates/zinnia-control/src/gateway.rs
+++ b/crates/zinnia-control/src/gateway.rs
@@ -55,7 +55,7 @@
     ATTEMPT_TIMEOUT.saturating_add(DOCUMENT_TIME_PER_KIB.saturating_mul(kib))
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct KnownCell {
     /// Member addresses from the settings.
     seeds: Vec<String>,
@@ -91,12 +91,7 @@
         let known = KnownCell {
             members: seeds.iter().cloned().collect(),
             seeds,
-            leader: None,
-            control_addr: None,
-            heartbeat_addrs: Vec::new(),
-            last_answer: Time(0),
-            leader_clock: LeaderClock::unknown(),
-            next_member: 0,
+            ..KnownCell::default()
         };
         Self {
             links,
--- a/crates/zinnia-control/src/member.rs
+++ b/crates/zinnia-control/src/member.rs
@@ -15,6 +15,7 @@
 use zinnia_peer::Links;
 use zinnia_raft::Members;
 use zinnia_raft::MembershipChange;
+use zinnia_raft::Node;
 use zinnia_raft::RecoveredState;
 use zinnia_raft::Snapshot;
 use zinnia_replica::ProposalOutcome;
@@ -231,19 +232,24 @@
 }
 
 fn next_change(context: &MemberContext) -> Option<MembershipChange> {
+    let is_pending = context.read(Node::has_pending_change)?;
+    match is_pending {
+        true => None,
+        false => read_membership(context, |m| m.next_change(&context.settings))?,
+    }
+}
+
+/// Calls `f` with what this process knows of the members, as their leader.
+fn read_membership<T>(context: &MemberContext, f: impl FnOnce(&Membership<'_>) -> T) -> Option<T> {
     let leaving = context.leaving_members();
     context.read(|n| {
-        let membership = Membership {
+        f(&Membership {
             members: n.members(),
             peers: &n.peers(),
             own: context.id,
             leaving: &leaving,
-        };
-        match n.has_pending_change() {
-            true => None,
-            false => membership.next_change(&context.settings),
-        }
-    })?
+        })
+    })
 }
 
 impl Member {
@@ -291,16 +297,7 @@
 /// Records that a member is about to shut down. Returns whether it should wait until its vote is handed over.
 pub(crate) fn record_leaving(context: &MemberContext, id: VmId) -> bool {
     context.record_leaving(id);
-    let leaving = context.leaving_members();
-    let wait = context.read(|n| {
-        let membership = Membership {
-            members: n.members(),
-            peers: &n.peers(),
-            own: context.id,
-            leaving: &leaving,
-        };
-        membership.can_hand_over(id, &context.settings)
-    });
+    let wait = read_membership(context, |m| m.can_hand_over(id, &context.settings));
     context.membership_wakeup.notify_one();
     wait.unwrap_or(false)
 }
--- a/crates/zinnia-control/tests/cancellation.rs
+++ b/crates/zinnia-control/tests/cancellation.rs
@@ -92,11 +92,7 @@
         let answer = links.call_with_timeout::<_, Answer>(&addr, "ask", &request, TIMEOUT);
         answer.await.expect("an answer")
     };
-    let unknown = LeaderTime {
-        term: 0,
-        at: Time(0),
-    };
-    let Answer::Expired(reading) = send(ID, Some(unknown)).await else {
+    let Answer::Expired(reading) = send(ID, Some(LeaderTime::default())).await else {
         panic!("a request with a deadline on an unknown clock is carried out");
     };
     let late = LeaderTime {
--- a/crates/zinnia-control/tests/deadlines.rs
+++ b/crates/zinnia-control/tests/deadlines.rs
@@ -53,7 +53,7 @@
             term: 1,
             offset: rng.random_range(0..MAX_OFFSET_MS),
         };
-        let mut clock = LeaderClock::unknown();
+        let mut clock = LeaderClock::default();
         // Until when the latest reading was on its way, and for how long.
         let mut reading_delay = None;
         let mut now = 1_000;
--- a/crates/zinnia-plan/src/feasibility.rs
+++ b/crates/zinnia-plan/src/feasibility.rs
@@ -6,6 +6,7 @@
 //! from other work, and a new job does not wait for it.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use zinnia_types::Time;
 
@@ -54,70 +55,85 @@
     }
 }
 
+/// Resources that tasks to last use.
+#[derive(Debug, Default)]
+pub(crate) struct LastingUse {
+    by_worker: BTreeMap<String, Resources>,
+    by_team: BTreeMap<String, Resources>,
+}
+
+impl LastingUse {
+    pub(crate) fn new(state: &State) -> Self {
+        let mut lasting = Self::default();
+        let jobs = state.live.iter().filter_map(|id| state.jobs.get(id));
+        for job in jobs.filter(|j| j.spec.steps.iter().any(|s| s.long_running)) {
+            let steps = job.rounds.iter().flat_map(|r| job.spec.steps.iter().zip(r));
+            for (step, tasks) in steps.filter(|(step, _)| step.long_running) {
+                for worker in tasks.tasks.iter().filter_map(|t| t.worker.as_deref()) {
+                    lasting.add(worker, &job.team, step);
+                }
+            }
+        }
+        lasting
+    }
+
+    fn add(&mut self, worker: &str, team: &str, step: &Step) {
+        let used = self.by_worker.entry(worker.to_owned()).or_default();
+        *used = used.plus(&step.demand());
+        let used = self.by_team.entry(team.to_owned()).or_default();
+        *used = used.plus(&step.resources);
+    }
+
+    pub(crate) fn on_worker(&self, worker: &str) -> Resources {
+        self.by_worker.get(worker).copied().unwrap_or_default()
+    }
+
+    fn of_team(&self, team: &str) -> Resources {
+        self.by_team.get(team).copied().unwrap_or_default()
+    }
+}
+
 /// What the workers could hold once all tasks that end have ended.
 pub(crate) struct Feasibility<'a> {
     state: &'a State,
     /// Workers of each pool.
     rooms: BTreeMap<&'a str, Vec<Room<'a>>>,
-    /// Resources that tasks to last use, by worker and by team.
-    by_worker: BTreeMap<&'a str, Resources>,
-    by_team: BTreeMap<&'a str, Resources>,
+    pub(crate) lasting: Arc<LastingUse>,
 }
 
 impl<'a> Feasibility<'a> {
     /// Takes all workers that are not about to shut down for present.
     pub(crate) fn of_state(state: &'a State) -> Self {
-        Self::new(state, |_| Some(None))
+        Self::new(state, Arc::new(LastingUse::new(state)), |_| Some(None))
     }
 
     /// `find` returns the number of a worker, if it has one, and `None` for a worker that is absent.
-    fn new(state: &'a State, find: impl Fn(&str) -> Option<Option<WorkerIndex>>) -> Self {
-        let mut feasibility = Self {
-            state,
-            rooms: BTreeMap::new(),
-            by_worker: BTreeMap::new(),
-            by_team: BTreeMap::new(),
-        };
-        feasibility.add_lasting_tasks();
+    fn new(
+        state: &'a State,
+        lasting: Arc<LastingUse>,
+        find: impl Fn(&str) -> Option<Option<WorkerIndex>>,
+    ) -> Self {
+        let mut rooms: BTreeMap<&str, Vec<Room<'_>>> = BTreeMap::new();
         let workers = state.workers.iter();
         for (name, worker) in workers.filter(|(_, w)| !w.left && !w.draining) {
             let Some(index) = find(name) else {
                 continue;
             };
-            let lasting = feasibility.lasting_on(name);
             let room = Room {
                 worker,
                 index,
-                free: worker.incarnation.resources.minus(&lasting),
+                free: worker.incarnation.resources.minus(&lasting.on_worker(name)),
             };
             let pool = worker.incarnation.pool.as_str();
-            feasibility.rooms.entry(pool).or_default().push(room);
+            rooms.entry(pool).or_default().push(room);
         }
-        feasibility
-    }
-
-    fn add_lasting_tasks(&mut self) {
-        let jobs = self.state.live.iter();
-        let jobs = jobs.filter_map(|id| self.state.jobs.get(id));
-        for job in jobs.filter(|j| j.spec.steps.iter().any(|s| s.long_running)) {
-            let steps = job.rounds.iter().flat_map(|r| job.spec.steps.iter().zip(r));
-            for (step, tasks) in steps.filter(|(step, _)| step.long_running) {
-                let demand = step.demand();
-                for name in tasks.tasks.iter().filter_map(|t| t.worker.as_deref()) {
-                    let used = self.by_worker.entry(name).or_default();
-                    *used = used.plus(&demand);
-                    let used = self.by_team.entry(&job.team).or_default();
-                    *used = used.plus(&step.resources);
-                }
-            }
+        Self {
+            state,
+            rooms,
+            lasting,
         }
     }
 
-    /// Resources that tasks to last use on a worker.
-    pub(crate) fn lasting_on(&self, worker: &str) -> Resources {
-        self.by_worker.get(worker).copied().unwrap_or_default()
-    }
-
     /// Whether a task of the step, or the whole gang, could start once all tasks that end have ended.
     /// `decisions` are those of the policy, if the queue has one.
     pub(crate) fn can_start(
@@ -161,8 +177,7 @@
     }
 
     fn is_within_limit(&self, team: &str, need: &Resources) -> bool {
-        let lasting = self.by_team.get(team).copied().unwrap_or_default();
-        let need = need.plus(&lasting);
+        let need = need.plus(&self.lasting.of_team(team));
         let below = |cap: u64, need: u64| cap == 0 || need <= cap;
         self.state.team(team).is_none_or(|t| {
             below(t.cap.cpu, need.cpu) && below(t.cap.mem, need.mem) && below(t.cap.gpu, need.gpu)
@@ -174,7 +189,7 @@
     /// What the workers that answer could hold. A new leader takes all of them for present at first.
     pub(crate) fn feasibility<'a>(&self, state: &'a State, now: Time) -> Feasibility<'a> {
         let silence_ms = self.settings.silence_ms;
-        Feasibility::new(state, |name| {
+        Feasibility::new(state, Arc::clone(&self.lasting), |name| {
             let view = self.views.get(name)?;
             let last_heard = view.last_heard.max(self.term_start);
             (now.since(last_heard) < silence_ms).then_some(Some(view.index))
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -1,6 +1,7 @@
 //! The volatile state of the leader, and its decisions.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use zinnia_types::Time;
 
@@ -12,6 +13,7 @@
 use crate::QueryBudget;
 use crate::Settings;
 use crate::State;
+use crate::feasibility::LastingUse;
 use crate::headroom::UrgentTeams;
 use crate::inherited::KnownLeases;
 use crate::inherited::known_leases;
@@ -36,6 +38,8 @@
     pub(crate) indices: WorkerIndices,
     pub(crate) decisions: Decisions,
     pub(crate) urgent_teams: UrgentTeams,
+    /// Resources that tasks to last use, as of the last check.
+    pub(crate) lasting: Arc<LastingUse>,
     /// Work that waits, as of `backlog_at`.
     backlog: Backlog,
     backlog_at: Option<Time>,
@@ -72,6 +76,7 @@
             indices: WorkerIndices::default(),
             decisions: BTreeMap::new(),
             urgent_teams: UrgentTeams::new(),
+            lasting: Arc::default(),
             backlog: Backlog::default(),
             backlog_at: None,
             last_check: None,
@@ -125,6 +130,13 @@
         now: Time,
         wall_ms: i64,
     ) -> Plan {
+        let is_due = |at: Time, ms: u64| now.since(at) >= ms;
+        let check_due = self
+            .last_check
+            .is_none_or(|at| is_due(at, CHECK_INTERVAL_MS));
+        if check_due {
+            self.lasting = Arc::new(LastingUse::new(state));
+        }
         let feasibility = self.feasibility(state, now);
         let mut plan = Plan {
             query_budget,
@@ -134,10 +146,7 @@
             },
             ..Plan::default()
         };
-        if self
-            .last_check
-            .is_none_or(|at| now.since(at) >= CHECK_INTERVAL_MS)
-        {
+        if check_due {
             self.last_check = Some(now);
             self.update_views(state, now);
             self.update_urgent_teams(state, &feasibility, now);
@@ -149,8 +158,8 @@
             self.decisions
                 .retain(|step, _| state.live.contains(&step.job));
         }
-        let is_due = |at: Time| now.since(at) >= BACKLOG_INTERVAL_MS;
-        if self.backlog_at.is_none_or(is_due) {
+        let backlog_due = |at| is_due(at, BACKLOG_INTERVAL_MS);
+        if self.backlog_at.is_none_or(backlog_due) {
             self.backlog_at = Some(now);
             let decisions = &self.decisions;
             self.backlog = Backlog::with_prospects(state, wall_ms, |id, job, queue, step| {
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -110,7 +110,7 @@
                 capacities.insert(view.index, name, worker);
                 if let Some(capacity) = capacities.get_mut(view.index) {
                     capacity.long_lease = view.remaining_lease_ms(now) > longest_ms;
-                    capacity.lasting = feasibility.lasting_on(name);
+                    capacity.lasting = feasibility.lasting.on_worker(name);
                 }
             }
         }
