--- a/crates/zinnia-plan/tests/feasibility.rs
+++ b/crates/zinnia-plan/tests/feasibility.rs
@@ -233,7 +233,7 @@
 fn infeasible_work_keeps_nothing_from_others() {
     struct Case {
         name: &'static str,
-        /// Makes the job with id 1 infeasible on two workers of 4,000 each.
+        /// What happens on two workers of 4,000 each before the job with id 1 is submitted.
         before: fn(&mut Cell),
         queue: &'static str,
         step: Step,
@@ -347,7 +347,7 @@
         cell.add_worker("b", 4_000, "b");
         cell.play(TICK_MS);
         (case.before)(&mut cell);
-        // Its predecessor in the document keeps the first worker busy for a moment.
+        // A job before it keeps a worker busy for a moment, so that it has to wait.
         cell.submit("quick", 2, vec![step(1, 1_000)]);
         cell.play(TICK_MS);
         let estimate_ms = 60_000;
--- a/crates/zinnia-plan/tests/strays.rs
+++ b/crates/zinnia-plan/tests/strays.rs
@@ -34,17 +34,24 @@
 /// for its end before it starts the task elsewhere.
 #[test]
 fn task_waits_for_the_end_of_an_unassigned_run() {
+    struct Case {
+        name: &'static str,
+        step: Step,
+    }
     let cases = [
-        ("task", step(1, 1_000)),
-        (
-            "gang",
-            Step {
+        Case {
+            name: "task",
+            step: step(1, 1_000),
+        },
+        Case {
+            name: "gang",
+            step: Step {
                 gang: true,
                 ..step(2, 1_000)
             },
-        ),
+        },
     ];
-    for (name, step) in cases {
+    for Case { name, step } in cases {
         let count = step.count as usize;
         let mut sim = Simulation::new(document(None));
         sim.add_worker(&incarnation("w", 4_000));
