--- /dev/null
+++ b/review/stand-ins-3/src/http.rs
@@ -0,0 +1,165 @@
+//! HTTP/1.1 over blocking sockets: one call per connection, and a server with a thread per connection.
+
+use std::collections::BTreeMap;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::Value;
+
+/// A request that a server received.
+pub struct Request {
+    pub path: String,
+    /// Headers with their names in lower case.
+    pub headers: BTreeMap<String, String>,
+    pub body: Value,
+}
+
+/// Status and JSON body of an answer.
+pub type Answer = (u16, Value);
+
+/// A call to a server.
+pub struct Call<'a> {
+    pub addr: &'a str,
+    pub method: &'a str,
+    pub path: &'a str,
+    pub host: &'a str,
+    pub key: Option<&'a str>,
+    pub body: &'a str,
+    pub timeout: Duration,
+}
+
+impl Default for Call<'_> {
+    fn default() -> Self {
+        Self {
+            addr: "",
+            method: "GET",
+            path: "/",
+            host: "cell.example",
+            key: None,
+            body: "",
+            timeout: Duration::from_secs(3),
+        }
+    }
+}
+
+impl Call<'_> {
+    /// Sends the call and returns the answer, or why there is none.
+    pub fn send(&self) -> Result<Answer, String> {
+        self.exchange().map_err(|e| e.to_string())
+    }
+
+    fn exchange(&self) -> std::io::Result<Answer> {
+        let addr: SocketAddr = self.addr.parse().map_err(std::io::Error::other)?;
+        let mut stream = TcpStream::connect_timeout(&addr, self.timeout)?;
+        stream.set_read_timeout(Some(self.timeout))?;
+        stream.set_write_timeout(Some(self.timeout))?;
+        let key = self.key.map(|k| format!("Authorization: Bearer {k}\r\n"));
+        let head = format!(
+            "{} {} HTTP/1.1\r\nHost: {}\r\n{}Content-Type: application/json\r\n\
+             X-Zinniavalve-Deadline-Ms: {}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+            self.method,
+            self.path,
+            self.host,
+            key.unwrap_or_default(),
+            self.timeout.as_millis(),
+            self.body.len(),
+        );
+        stream.write_all(head.as_bytes())?;
+        stream.write_all(self.body.as_bytes())?;
+        let mut reader = BufReader::new(stream);
+        let (start, headers) = read_head(&mut reader)?
+            .ok_or_else(|| std::io::Error::other("the connection was closed without an answer"))?;
+        let status = start.split(' ').nth(1).and_then(|s| s.parse().ok());
+        let status = status.ok_or_else(|| std::io::Error::other("malformed answer"))?;
+        let body = read_body(&mut reader, &headers)?;
+        Ok((status, serde_json::from_slice(&body).unwrap_or(Value::Null)))
+    }
+}
+
+type Head = (String, BTreeMap<String, String>);
+
+fn read_head(reader: &mut impl BufRead) -> std::io::Result<Option<Head>> {
+    let mut start = String::new();
+    if reader.read_line(&mut start)? == 0 {
+        return Ok(None);
+    }
+    let mut headers = BTreeMap::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line)?;
+        let line = line.trim_end();
+        if line.is_empty() {
+            return Ok(Some((start.trim_end().to_owned(), headers)));
+        }
+        if let Some((name, value)) = line.split_once(':') {
+            headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+        }
+    }
+}
+
+fn read_body(
+    reader: &mut impl Read,
+    headers: &BTreeMap<String, String>,
+) -> std::io::Result<Vec<u8>> {
+    let length = headers.get("content-length").and_then(|n| n.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    reader.read_exact(&mut body)?;
+    Ok(body)
+}
+
+/// Serves `handler` on a free port of `ip` until the process ends. Returns the address.
+pub fn serve(
+    ip: &str,
+    handler: impl Fn(&Request) -> Answer + Send + Sync + 'static,
+) -> std::io::Result<String> {
+    let listener = TcpListener::bind((ip, 0))?;
+    let addr = listener.local_addr()?.to_string();
+    let handler = Arc::new(handler);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let handler = Arc::clone(&handler);
+            std::thread::spawn(move || {
+                let _ = serve_connection(stream, &*handler);
+            });
+        }
+    });
+    Ok(addr)
+}
+
+fn serve_connection(
+    stream: TcpStream,
+    handler: &(impl Fn(&Request) -> Answer + ?Sized),
+) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut writer = stream.try_clone()?;
+    let mut reader = BufReader::new(stream);
+    while let Some((start, headers)) = read_head(&mut reader)? {
+        let body = read_body(&mut reader, &headers)?;
+        let path = start.split(' ').nth(1).unwrap_or_default().to_owned();
+        let request = Request {
+            path,
+            headers,
+            body: serde_json::from_slice(&body).unwrap_or(Value::Null),
+        };
+        let (status, body) = handler(&request);
+        // Status 0 stands for a worker that is down: the connection ends without an answer.
+        if status == 0 {
+            return Ok(());
+        }
+        let text = body.to_string();
+        let head = format!(
+            "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            text.len()
+        );
+        writer.write_all(head.as_bytes())?;
+        writer.write_all(text.as_bytes())?;
+    }
+    Ok(())
+}
