--- a/review/stand-ins-3/src/cell.rs
+++ b/review/stand-ins-3/src/cell.rs
@@ -275,6 +275,22 @@
         }
     }
 
+    /// Lines of the metrics of all members that begin with `name`.
+    pub fn metrics(&self, name: &str) -> Vec<String> {
+        let mut found = Vec::new();
+        for addr in self.addrs(true, self.ports.first + 3) {
+            let call = Call {
+                addr: &addr,
+                path: "/metrics",
+                ..Call::default()
+            };
+            let text = call.send_text();
+            let lines = text.lines().filter(|l| l.starts_with(name));
+            found.extend(lines.map(|l| format!("{addr}: {l}")));
+        }
+        found
+    }
+
     /// Lines of all logs that contain `text`.
     pub fn log_lines(&self, text: &str) -> Vec<String> {
         let mut found = Vec::new();
--- a/review/stand-ins-3/src/http.rs
+++ b/review/stand-ins-3/src/http.rs
@@ -52,10 +52,17 @@
 impl Call<'_> {
     /// Sends the call and returns the answer, or why there is none.
     pub fn send(&self) -> Result<Answer, String> {
-        self.exchange().map_err(|e| e.to_string())
+        let (status, body) = self.exchange().map_err(|e| e.to_string())?;
+        Ok((status, serde_json::from_slice(&body).unwrap_or(Value::Null)))
+    }
+
+    /// Sends the call and returns the body of the answer as text, empty without one.
+    pub fn send_text(&self) -> String {
+        let body = self.exchange().map(|(_, body)| body).unwrap_or_default();
+        String::from_utf8_lossy(&body).into_owned()
     }
 
-    fn exchange(&self) -> std::io::Result<Answer> {
+    fn exchange(&self) -> std::io::Result<(u16, Vec<u8>)> {
         let addr: SocketAddr = self.addr.parse().map_err(std::io::Error::other)?;
         let mut stream = TcpStream::connect_timeout(&addr, self.timeout)?;
         stream.set_read_timeout(Some(self.timeout))?;
@@ -78,8 +85,7 @@
             .ok_or_else(|| std::io::Error::other("the connection was closed without an answer"))?;
         let status = start.split(' ').nth(1).and_then(|s| s.parse().ok());
         let status = status.ok_or_else(|| std::io::Error::other("malformed answer"))?;
-        let body = read_body(&mut reader, &headers)?;
-        Ok((status, serde_json::from_slice(&body).unwrap_or(Value::Null)))
+        Ok((status, read_body(&mut reader, &headers)?))
     }
 }
 
