--- a/crates/zinnia-control/src/log_hooks.rs
+++ b/crates/zinnia-control/src/log_hooks.rs
@@ -12,6 +12,7 @@
 use zinnia_plan::LeaseChanges;
 use zinnia_plan::Record;
 use zinnia_plan::Reply;
+use zinnia_plan::StepId;
 use zinnia_plan::TaskId;
 use zinnia_raft::Entry;
 use zinnia_raft::Message;
@@ -29,6 +30,9 @@
 use crate::member::CLUSTER_NAME;
 use crate::message::RAFT_METHOD;
 
+/// Number of released runs of one step up to which each has a line of its own.
+const MAX_LINES_PER_STEP: usize = 32;
+
 /// Creates the callbacks of the log thread.
 pub(crate) fn hooks(context: &Arc<MemberContext>) -> Hooks<Vec<Reply>> {
     let downgrade = |context: &Arc<MemberContext>| Arc::downgrade(context);
@@ -229,15 +233,28 @@
         }
         (Record::Release(list), _) => {
             metrics::counter!("zinnia_voids_total").increment(list.len() as u64);
-            for (task, run, _) in list {
-                tracing::info!(event = "void", task = %task, run, "run released without a result");
-            }
+            report_released(list);
         }
         (Record::Evacuate { .. }, _) => crate::evacuation::report_domains(state),
         _ => {}
     }
 }
 
+/// Reports released runs: each of them, or the first of each step if there are many.
+fn report_released(list: &[(TaskId, u32, String)]) {
+    let step = |(task, _, _): &(TaskId, u32, String)| StepId::from(*task);
+    for runs in list.chunk_by(|a, b| step(a) == step(b)) {
+        let shown = match runs.len() {
+            n if n > MAX_LINES_PER_STEP => 1,
+            n => n,
+        };
+        let more = runs.len() - shown;
+        for (task, run, _) in runs.iter().take(shown) {
+            tracing::info!(event = "void", task = %task, run, more, "run released without a result");
+        }
+    }
+}
+
 fn report_unanswered(changes: &LeaseChanges) {
     metrics::counter!("zinnia_unanswered_orders_total").increment(changes.unanswered.len() as u64);
     for order in &changes.unanswered {
--- a/crates/zinnia-plan/src/assignment.rs
+++ b/crates/zinnia-plan/src/assignment.rs
@@ -1,5 +1,7 @@
 //! Assignment of runs to workers in the replicated state.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::mem;
 
 use crate::Start;
@@ -8,10 +10,19 @@
 use crate::StepId;
 use crate::TaskId;
 
+/// What an entry of starts needs to know of each step only once, since it may start many tasks of it.
+#[derive(Default)]
+struct StepChecks {
+    /// Whether the dependencies of a step are complete.
+    ready: BTreeMap<StepId, bool>,
+    /// Whether the state allows the starts of all members of a gang, by the number of the run.
+    gangs: BTreeMap<(StepId, u32), bool>,
+}
+
 impl State {
     /// Whether the state allows a start: the incarnation is current and accepts tasks, the job is
     /// open, the dependencies are complete, and the task has no run.
-    fn may_start(&self, start: &Start) -> bool {
+    fn may_start(&self, start: &Start, checks: &mut StepChecks) -> bool {
         let id = start.task;
         let Some(job) = self.jobs.get(&id.job) else {
             return false;
@@ -25,32 +36,45 @@
             .and_then(|r| r.get(id.step as usize))
             .and_then(|s| s.tasks.get(id.index as usize));
         let is_waiting = task.is_some_and(|t| !t.done && t.worker.is_none() && start.run > t.run);
-        accepts_tasks && is_waiting && job.status == Status::Open && job.is_ready(id.round, id.step)
+        let ready = checks.ready.entry(StepId::from(id));
+        accepts_tasks
+            && is_waiting
+            && job.status == Status::Open
+            && *ready.or_insert_with(|| job.is_ready(id.round, id.step))
+    }
+
+    /// Tells for each gang in an entry whether the state allows the starts of all its members.
+    fn check_gangs(&self, starts: &[Start], checks: &mut StepChecks) {
+        let mut members: BTreeMap<(StepId, u32), BTreeSet<u32>> = BTreeMap::new();
+        for start in starts {
+            let is_member = self.step(start.task).is_some_and(|s| s.gang);
+            if is_member && self.may_start(start, checks) {
+                let gang = (StepId::from(start.task), start.run);
+                members.entry(gang).or_default().insert(start.task.index);
+            }
+        }
+        for ((step, run), indices) in members {
+            let first = TaskId::from((step.job, step.round, step.step, 0));
+            let is_whole = self
+                .step(first)
+                .is_some_and(|s| indices.len() == s.count as usize);
+            checks.gangs.insert((step, run), is_whole);
+        }
     }
 
     pub(crate) fn apply_starts(&mut self, starts: &[Start]) -> Vec<Start> {
+        let mut checks = StepChecks::default();
+        self.check_gangs(starts, &mut checks);
         let mut accepted = Vec::new();
         for start in starts {
-            let id = start.task;
-            let step = self
-                .jobs
-                .get(&id.job)
-                .and_then(|j| j.spec.steps.get(id.step as usize));
-            let all_allowed = match step {
-                Some(step) if step.gang => {
-                    let members = starts
-                        .iter()
-                        .filter(|s| StepId::from(s.task) == StepId::from(id) && s.run == start.run);
-                    let allowed = members.filter(|s| {
-                        let allowed_alone = self.may_start(s);
-                        allowed_alone || accepted.contains(*s)
-                    });
-                    allowed.count() == step.count as usize
-                }
-                Some(_) => self.may_start(start),
+            let gang = (StepId::from(start.task), start.run);
+            let is_allowed = match self.step(start.task) {
+                Some(step) if step.gang => checks.gangs.get(&gang).is_some_and(|whole| *whole),
+                Some(_) => true,
                 None => false,
             };
-            if all_allowed {
+            // A task may be listed twice.
+            if is_allowed && self.may_start(start, &mut checks) {
                 self.assign(start);
                 accepted.push(start.clone());
             }
--- a/crates/zinnia-plan/src/job.rs
+++ b/crates/zinnia-plan/src/job.rs
@@ -47,7 +47,7 @@
     /// Whether the task is complete.
     #[serde(rename = "d", skip_serializing_if = "std::ops::Not::not")]
     pub done: bool,
-    /// Last checkpoint; empty if there is none.
+    /// Last checkpoint of a task that is no member of a gang; empty if there is none.
     #[serde(rename = "s", skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
     /// Worker on which the latest failed run was; empty if none failed.
@@ -77,6 +77,9 @@
     /// Number of the latest run of the gang that counted as failed. It keeps the failures of
     /// several members from counting more than once.
     pub failed_run: u32,
+    /// Last checkpoint of a gang, which any member may store; empty if there is none.
+    #[serde(rename = "saved", default, skip_serializing_if = "String::is_empty")]
+    pub checkpoint: String,
 }
 
 impl StepState {
@@ -87,10 +90,8 @@
 
     /// Returns the number of tasks that are neither complete nor assigned to a worker.
     pub fn waiting(&self) -> usize {
-        self.tasks
-            .iter()
-            .filter(|t| !t.done && t.worker.is_none())
-            .count()
+        let settled = self.done as usize + self.assigned as usize;
+        self.tasks.len().saturating_sub(settled)
     }
 }
 
@@ -215,6 +216,7 @@
 
     /// Whether every task of every round is complete.
     pub fn is_complete(&self) -> bool {
-        self.rounds.iter().flatten().all(StepState::is_done)
+        // The last steps are usually complete last, so that the search from the end is short.
+        self.rounds.iter().flatten().rev().all(StepState::is_done)
     }
 }
--- a/crates/zinnia-plan/src/leader.rs
+++ b/crates/zinnia-plan/src/leader.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use zinnia_types::JobId;
 use zinnia_types::Time;
 
 use crate::Backlog;
@@ -53,6 +54,8 @@
     pub(crate) lasting: Arc<LastingUse>,
     /// Weights of the teams as of the last check, if they order waiting work.
     pub(crate) weights: Option<Arc<TeamWeights>>,
+    /// Text of the job whose tasks were ordered last.
+    pub(crate) last_text: Option<(JobId, Arc<str>)>,
     /// Work that waits, as of `backlog_at`.
     backlog: Backlog,
     backlog_at: Option<Time>,
@@ -96,6 +99,7 @@
             run_times: RunTimes::default(),
             lasting: Arc::default(),
             weights: None,
+            last_text: None,
             backlog: Backlog::default(),
             backlog_at: None,
             rotation_cursor: None,
--- a/crates/zinnia-plan/src/orders.rs
+++ b/crates/zinnia-plan/src/orders.rs
@@ -1,5 +1,8 @@
 //! Start orders: what is sent for a committed start, and what follows from the answer.
 
+use std::sync::Arc;
+
+use zinnia_types::JobId;
 use zinnia_types::Time;
 
 use crate::ConfirmedStart;
@@ -20,9 +23,10 @@
     /// incarnation is gone, or the worker's clock is unknown.
     pub fn prepare_start(&mut self, state: &State, start: &Start, now: Time) -> Option<StartOrder> {
         let job = state.jobs.get(&start.task.job)?;
-        let task = state.task(start.task)?;
+        state.task(start.task)?;
         let worker = state.workers.get(&start.worker)?;
         let lease = self.grant_ms(state);
+        let text = self.order_text(start.task.job, &job.spec.text);
         let view = self.views.get_mut(&start.worker)?;
         let ticket = self
             .decisions
@@ -56,13 +60,25 @@
                 task: start.task,
                 run: start.run,
             },
-            text: job.spec.text.clone(),
+            text,
             deadline_ms,
-            checkpoint: task.checkpoint.clone(),
+            checkpoint: state.checkpoint(start.task).to_owned(),
             ticket,
         })
     }
 
+    /// Text of a job for its orders, which share it: an entry may start very many tasks of one job.
+    fn order_text(&mut self, job: JobId, text: &str) -> Arc<str> {
+        match &self.last_text {
+            Some((known, shared)) if *known == job => Arc::clone(shared),
+            _ => {
+                let shared: Arc<str> = text.into();
+                self.last_text = Some((job, Arc::clone(&shared)));
+                shared
+            }
+        }
+    }
+
     /// Checks a prepared order right before it is sent; `may_act` tells whether no other process can
     /// lead the cell.
     ///
--- a/crates/zinnia-plan/src/placement.rs
+++ b/crates/zinnia-plan/src/placement.rs
@@ -34,6 +34,10 @@
 use crate::worker_view::WorkerView;
 use crate::worker_view::current_workers;
 
+/// Number of starts in one pass, and so in one entry of the log, after which no further tasks are placed. The next
+/// pass follows once these are committed. A gang, whose starts are one decision, may exceed it.
+const MAX_STARTS: usize = 1_024;
+
 /// Decisions of the placement policy about the steps of live jobs.
 pub(crate) type Decisions = BTreeMap<StepId, PolicyDecisions>;
 
@@ -107,19 +111,25 @@
         );
         let mut short = Vec::new();
         for step in &waiting {
+            if plan.starts.len() >= MAX_STARTS {
+                report.add(step, WaitReason::Postponed, wall_ms);
+                continue;
+            }
             let reason = match selection.select(step) {
                 Selected::Postpone => Some(WaitReason::Postponed),
                 Selected::LeaveOut(reason) => Some(reason),
                 Selected::Consider => {
                     pass.awaits_order = false;
                     let reason = pass.place_step(feasibility, &mut self.decisions, step, plan);
-                    let found_no_room = !pass.awaits_order && !pass.has_strays(step);
+                    let is_full = plan.starts.len() >= MAX_STARTS;
+                    let found_no_room = !is_full && !pass.awaits_order && !pass.has_strays(step);
                     if let Some(reason) = reason.filter(|_| found_no_room) {
                         selection.record_no_room(step, reason);
                     }
-                    match pass.awaits_order {
-                        true => Some(WaitReason::OpenOrder),
-                        false => reason,
+                    match reason {
+                        Some(_) if is_full => Some(WaitReason::Postponed),
+                        _ if pass.awaits_order => Some(WaitReason::OpenOrder),
+                        _ => reason,
                     }
                 }
             };
@@ -290,11 +300,16 @@
             };
         }
         let mut task_counts = self.tasks_per_worker(waiting);
+        let mut left = waiting.state.waiting();
         let mut unplaced = 0;
         for (index, task) in (0..).zip(&waiting.state.tasks) {
             if task.done || task.worker.is_some() {
                 continue;
             }
+            if plan.starts.len() >= MAX_STARTS {
+                return Unplaced::Tasks(unplaced + left);
+            }
+            left = left.saturating_sub(1);
             if self.strays.contains(&waiting.task_id(index)) {
                 unplaced += 1;
                 continue;
@@ -324,8 +339,13 @@
                 Binding::Wait => None,
             };
             let Some(worker) = choice else {
+                let has_no_room = candidates.clone().next().is_none();
                 self.awaits_order |= matches!(binding, Binding::Only(_) | Binding::Wait);
                 unplaced += usize::from(binding != Binding::Wait);
+                if has_no_room {
+                    // The other tasks of the step need as much.
+                    return Unplaced::Tasks(unplaced + left);
+                }
                 continue;
             };
             if let Some(start) = self.new_start(waiting, index, task.run + 1, worker) {
--- a/crates/zinnia-plan/src/plan.rs
+++ b/crates/zinnia-plan/src/plan.rs
@@ -1,5 +1,7 @@
 //! Actions that the leader requests, and the settings of its decisions.
 
+use std::sync::Arc;
+
 use zinnia_types::Time;
 
 use crate::LeaseChanges;
@@ -168,7 +170,7 @@
     /// Worker, fencing token and run.
     pub common: RunOrder,
     /// Job description for the worker, as submitted.
-    pub text: String,
+    pub text: Arc<str>,
     /// Deadline of the lease on the worker's clock.
     pub deadline_ms: u64,
     /// Checkpoint to resume from; empty if there is none.
--- a/crates/zinnia-plan/src/polls.rs
+++ b/crates/zinnia-plan/src/polls.rs
@@ -1,6 +1,7 @@
 //! Polls, which ask workers for the state of their runs and renew their leases.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use zinnia_types::Time;
 
@@ -197,16 +198,14 @@
         worker: &Worker,
     ) -> Vec<(TaskId, u32, String)> {
         let mut lost_runs = Vec::new();
+        if report.partial {
+            return lost_runs;
+        }
+        let running = report.running.iter().map(|r| (r.task, r.run));
+        let ended = report.ended.iter().map(|e| (e.task, e.run));
+        let listed: BTreeSet<(TaskId, u32)> = running.chain(ended).collect();
         let mut unresolved = false;
-        for &(task, run) in &worker.runs {
-            let running = report
-                .running
-                .iter()
-                .any(|r| r.task == task && r.run == run);
-            let ended = report.ended.iter().any(|e| e.task == task && e.run == run);
-            if running || ended || report.partial {
-                continue;
-            }
+        for &(task, run) in worker.runs.difference(&listed) {
             let order = self.orders.get(&(task, run));
             let settled = order.is_none_or(|o| {
                 o.fence < poll.fence
--- a/crates/zinnia-plan/src/runs.rs
+++ b/crates/zinnia-plan/src/runs.rs
@@ -162,6 +162,11 @@
     let (Some(states), Some(step)) = (step, job.spec.steps.get(task.step as usize)) else {
         return false;
     };
-    let is_assigned = |t: &Task| t.run == run && t.worker.is_some();
-    !step.gang || states.is_done() || states.tasks.iter().all(is_assigned)
+    // The members of a gang are assigned together, so that all of them have the same run while all have a worker.
+    let is_current = states
+        .tasks
+        .get(task.index as usize)
+        .is_some_and(|t| t.run == run);
+    let is_whole = is_current && states.assigned as usize == states.tasks.len();
+    !step.gang || states.is_done() || is_whole
 }
--- a/crates/zinnia-plan/src/state.rs
+++ b/crates/zinnia-plan/src/state.rs
@@ -342,11 +342,27 @@
         let Some((step, state)) = self.step_mut(id) else {
             return;
         };
-        let gang = step.gang;
-        for (i, task) in state.tasks.iter_mut().enumerate() {
-            if gang || i == id.index as usize {
-                checkpoint.clone_into(&mut task.checkpoint);
-            }
+        let kept = match state.tasks.get_mut(id.index as usize) {
+            _ if step.gang => &mut state.checkpoint,
+            Some(task) => &mut task.checkpoint,
+            None => return,
+        };
+        checkpoint.clone_into(kept);
+    }
+
+    /// Checkpoint from which a task resumes; empty if there is none.
+    pub(crate) fn checkpoint(&self, id: TaskId) -> &str {
+        let round = self
+            .jobs
+            .get(&id.job)
+            .and_then(|j| j.rounds.get(id.round as usize));
+        let Some(step) = round.and_then(|r| r.get(id.step as usize)) else {
+            return "";
+        };
+        // An earlier build keeps the checkpoint of a gang with each task.
+        match step.tasks.get(id.index as usize) {
+            Some(task) if step.checkpoint.is_empty() => &task.checkpoint,
+            _ => &step.checkpoint,
         }
     }
 
@@ -384,6 +400,8 @@
         let mut failures = 0;
         match end.reason {
             EndReason::Done if long_running => {}
+            // The end of one member stands for all of them.
+            EndReason::Done if gang && state.is_done() => {}
             EndReason::Done if gang => {
                 for task in &mut state.tasks {
                     task.done = true;
@@ -412,13 +430,14 @@
             }
             EndReason::Stopped | EndReason::Lapsed | EndReason::Broken | EndReason::Alone => {}
         }
+        let is_done = state.is_done();
         let Some(job) = self.jobs.get(&id.job) else {
             return;
         };
         let is_exhausted = |q: &Queue| failures > 0 && failures >= q.max_attempts;
         if !long_running && self.queue_of(job).is_some_and(is_exhausted) {
             self.end_job(id.job, Status::Failed);
-        } else if job.is_complete() {
+        } else if is_done && job.is_complete() {
             self.end_job(id.job, Status::Completed);
         }
     }
