--- a/crates/zinnia-plan/src/rank.rs
+++ b/crates/zinnia-plan/src/rank.rs
@@ -8,7 +8,6 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use crate::Job;
 use crate::State;
 use crate::StepId;
 use crate::shares::LaneIndex;
@@ -43,7 +42,7 @@
     };
     let mut shares = Shares::new(weights);
     let waiting = waiting_steps(state, Some(&mut shares), wall_ms);
-    rank_by_shares(&waiting, &mut shares, wall_ms)
+    rank_by_shares(&waiting, &mut shares)
 }
 
 /// Sorts waiting steps by queue priority and age. Within a priority, jobs that can still end in time go before
@@ -97,13 +96,12 @@
 fn rank_by_shares<'a>(
     waiting: &[WaitingStep<'a>],
     shares: &mut Shares<'a>,
-    wall_ms: i64,
 ) -> Vec<WaitingStep<'a>> {
     let mut keys: Vec<Key> = (0..)
         .zip(waiting)
         .map(|(position, step)| {
             let lane = shares.lane(&step.queue.pool, &step.job.team);
-            key(step, lane, position, wall_ms)
+            key(step, lane, position)
         })
         .collect();
     keys.sort_unstable();
@@ -114,8 +112,8 @@
     order
 }
 
-fn key(step: &WaitingStep<'_>, lane: LaneIndex, position: usize, wall_ms: i64) -> Key {
-    let slack_ms = slack_ms(step, wall_ms);
+fn key(step: &WaitingStep<'_>, lane: LaneIndex, position: usize) -> Key {
+    let slack_ms = step.slack_ms;
     // Tasks to last have no end that could be late.
     let usefulness = match slack_ms >= 0 || step.step.long_running {
         _ if step.expired => Usefulness::Expired,
@@ -146,31 +144,6 @@
     step.step.long_running && ran()
 }
 
-/// Time that the step may wait so that its job still meets its objective, by the estimates of the steps that are left.
-fn slack_ms(step: &WaitingStep<'_>, wall_ms: i64) -> i64 {
-    let objective_ms = step.queue.objective_ms(&step.job.spec);
-    let left_ms = remaining_ms(step.job, step.id.round);
-    let slack_ms = i64::try_from(objective_ms)
-        .unwrap_or(i64::MAX)
-        .saturating_sub(i64::try_from(left_ms).unwrap_or(i64::MAX));
-    let elapsed_ms = wall_ms.saturating_sub(step.job.due_ms(step.id.round));
-    slack_ms.saturating_sub(elapsed_ms)
-}
-
-/// Estimated run time of the longest chain of steps of a round that are not complete.
-fn remaining_ms(job: &Job, round: u32) -> u64 {
-    let Some(states) = job.rounds.get(round as usize) else {
-        return 0;
-    };
-    let mut ends: Vec<u64> = Vec::with_capacity(job.spec.steps.len());
-    for (step, state) in job.spec.steps.iter().zip(states) {
-        let ready = step.depends_on.iter().filter_map(|&d| ends.get(d)).max();
-        let own_ms = if state.is_done() { 0 } else { step.estimate_ms };
-        ends.push(ready.copied().unwrap_or(0).saturating_add(own_ms));
-    }
-    ends.into_iter().max().unwrap_or(0)
-}
-
 /// Appends the steps of a group to the order. Its keys are sorted by team and slack.
 fn merge_lanes<'a>(
     group: &[Key],
--- a/crates/zinnia-plan/src/waiting.rs
+++ b/crates/zinnia-plan/src/waiting.rs
@@ -29,6 +29,9 @@
     pub(crate) expired: bool,
     /// Time after a round is due from which its end is of no use, in milliseconds.
     pub(crate) expiry_ms: u64,
+    /// Time that the round may wait so that it still meets its objective, in milliseconds; 0 where the order does
+    /// not depend on it.
+    pub(crate) slack_ms: i64,
 }
 
 impl WaitingStep<'_> {
@@ -64,6 +67,30 @@
     u64::try_from(wall_ms.saturating_sub(job.due_ms(round))).unwrap_or(0)
 }
 
+/// Time that a round may wait so that it still meets its objective, by the estimates of the steps that are left.
+fn slack_ms(job: &Job, round: u32, objective_ms: u64, wall_ms: i64) -> i64 {
+    let left_ms = remaining_ms(job, round);
+    let slack_ms = i64::try_from(objective_ms)
+        .unwrap_or(i64::MAX)
+        .saturating_sub(i64::try_from(left_ms).unwrap_or(i64::MAX));
+    let elapsed_ms = wall_ms.saturating_sub(job.due_ms(round));
+    slack_ms.saturating_sub(elapsed_ms)
+}
+
+/// Estimated run time of the longest chain of steps of a round that are not complete.
+fn remaining_ms(job: &Job, round: u32) -> u64 {
+    let Some(states) = job.rounds.get(round as usize) else {
+        return 0;
+    };
+    let mut ends: Vec<u64> = Vec::with_capacity(job.spec.steps.len());
+    for (step, state) in job.spec.steps.iter().zip(states) {
+        let ready = step.depends_on.iter().filter_map(|&d| ends.get(d)).max();
+        let own_ms = if state.is_done() { 0 } else { step.estimate_ms };
+        ends.push(ready.copied().unwrap_or(0).saturating_add(own_ms));
+    }
+    ends.into_iter().max().unwrap_or(0)
+}
+
 /// Returns the steps that are due, have complete dependencies and have tasks without a worker. `shares`, if any, get
 /// the resources of the tasks that have a worker.
 pub(crate) fn waiting_steps<'a>(
@@ -90,12 +117,15 @@
         if let Some(shares) = &mut shares {
             add_running(shares, job, queue);
         }
-        // Once for each job, since it takes time in proportion to the job's steps.
-        let expiry_ms = queue.expiry_ms(&job.spec);
+        // These take time in proportion to all dependencies of the job, so that they are found once for each job, or
+        // round, that has waiting steps.
+        let mut expiry = None;
+        let mut objective = None;
         for (r, steps) in (0..).zip(&job.rounds) {
             if job.due_ms(r) > wall_ms {
                 break;
             }
+            let mut slack = None;
             for (s, tasks) in (0..).zip(steps) {
                 let Some(step) = job.spec.steps.get(s as usize) else {
                     continue;
@@ -108,6 +138,15 @@
                 if step.gang && tasks.assigned > 0 {
                     continue;
                 }
+                let expiry_ms = *expiry.get_or_insert_with(|| queue.expiry_ms(&job.spec));
+                let slack_ms = match shares {
+                    Some(_) => *slack.get_or_insert_with(|| {
+                        let objective_ms =
+                            *objective.get_or_insert_with(|| queue.objective_ms(&job.spec));
+                        slack_ms(job, r, objective_ms, wall_ms)
+                    }),
+                    None => 0,
+                };
                 steps_waiting.push(WaitingStep {
                     id: StepId {
                         job: *id,
@@ -121,6 +160,7 @@
                     count,
                     expired: age_ms(job, r, wall_ms) > expiry_ms,
                     expiry_ms,
+                    slack_ms,
                 });
             }
         }
--- a/crates/zinnia-plan/tests/large_jobs.rs
+++ b/crates/zinnia-plan/tests/large_jobs.rs
@@ -12,15 +12,20 @@
 use proptest::prelude::*;
 use zinnia_plan::End;
 use zinnia_plan::EndReason;
+use zinnia_plan::Leader;
+use zinnia_plan::LeaseTimes;
+use zinnia_plan::OrderSettings;
 use zinnia_plan::Record;
 use zinnia_plan::Reply;
 use zinnia_plan::Resources;
+use zinnia_plan::Settings;
 use zinnia_plan::Start;
 use zinnia_plan::StartOutcome;
 use zinnia_plan::State;
 use zinnia_plan::Status;
 use zinnia_plan::Step;
 use zinnia_types::JobId;
+use zinnia_types::Time;
 
 /// Number of tasks. Work that grows with the square of it still ends, but takes minutes; with the cube it never does.
 const TASKS: u32 = 20_000;
@@ -121,6 +126,56 @@
     }
 }
 
+/// Guards against a pass that walks all dependencies of a job for each of its steps that wait.
+#[test]
+fn steps_with_very_many_dependencies_wait() {
+    const FIRST: usize = 2_000;
+    const WAITING: usize = 4_000;
+    let mut document = document(None);
+    document.teams[0].cap = Resources::default();
+    let mut sim = Simulation::new(document);
+    sim.leader = Leader::new(
+        Settings {
+            order: OrderSettings {
+                weighted: true,
+                ..OrderSettings::default()
+            },
+            ..Settings::default()
+        },
+        1,
+        &sim.state,
+        &LeaseTimes::default(),
+        Time(sim.now),
+    );
+    sim.add_worker(&incarnation("a", 10_000));
+    let first = (0..FIRST).map(|_| large_step(1));
+    let waiting = (0..WAITING).map(|_| Step {
+        resources: Resources {
+            cpu: 20_000,
+            ..Resources::default()
+        },
+        depends_on: (0..FIRST).collect(),
+        ..large_step(1)
+    });
+    sim.submit(job(first.chain(waiting).collect()));
+    let mut number = 0;
+    while number < FIRST as u64 {
+        sim.now += 10;
+        let orders = sim.start_tasks();
+        assert!(!orders.is_empty(), "{number} of {FIRST} steps have started");
+        for order in orders {
+            number += 1;
+            let (task, run) = run_key(&order);
+            sim.end("a", number, task, run, EndReason::Done);
+        }
+    }
+    for _ in 0..4 {
+        let plan = sim.plan_after(60);
+        let counts = plan.waiting.expect("the pass places tasks").counts;
+        assert_eq!(counts.values().sum::<u64>(), WAITING as u64);
+    }
+}
+
 /// Guards against a checkpoint of a gang that not all members resume from.
 #[test]
 fn checkpoint_of_one_member_counts_for_the_gang() {
