control: a start that cannot listen releases its data folder

Cause: Process::start opens the store and starts the member's tasks before it listens. If the address was still in use, the tasks kept the member and so the lock of its folder, and each later start in the same process failed. A real process ends after such a start, so that callers did not see this.

Change: the member is stopped before the error is returned.

--- a/crates/zinnia-control/src/process.rs
+++ b/crates/zinnia-control/src/process.rs
@@ -82,9 +82,16 @@
             handle(context.clone(), transport.clone(), vm, method, value)
         };
         let bind = settings.bind_addr.unwrap_or(settings.peer_addr);
-        let server = zinnia_peer::serve(bind, links, handler)
-            .await
-            .with_context(|| format!("cannot listen on {bind}"))?;
+        let server = match zinnia_peer::serve(bind, links, handler).await {
+            Ok(server) => server,
+            Err(error) => {
+                // The member's tasks would hold its data folder until the process ends.
+                if let Some(member) = &member {
+                    member.stop().await;
+                }
+                return Err(error).with_context(|| format!("cannot listen on {bind}"));
+            }
+        };
         tokio::spawn(Arc::clone(&gateway).run_discovery());
         tokio::spawn(Arc::clone(&gateway).run_heartbeat_relay());
         Ok(Self {
