--- a/crates/zinnia-control/src/leader_memory.rs
+++ b/crates/zinnia-control/src/leader_memory.rs
@@ -12,21 +12,31 @@
 /// Messages up to this length are not counted.
 const SMALL_MESSAGE_BYTES: usize = 64 * 1024;
 
-/// Tasks and steps that a submitted job will have over all its rounds.
+/// Memory of a task or a step, in bytes. What a job keeps beside these counts in parts of this size.
+const TASK_BYTES: usize = 512;
+
+/// Number of tasks that take as much memory as the texts and lists of a job.
+fn text_size(spec: &JobSpec) -> usize {
+    spec.text_bytes() / TASK_BYTES
+}
+
+/// Tasks and steps that a submitted job will have over all its rounds, and what its texts and lists count as.
 fn submitted_size(spec: &JobSpec) -> usize {
     let tasks = |count: u32| usize::try_from(count).unwrap_or(usize::MAX);
     let sizes = spec.steps.iter().map(|s| tasks(s.count).saturating_add(1));
     let round = sizes.fold(0, usize::saturating_add);
     let rounds = spec.repeat.as_ref().map_or(1, |r| tasks(r.count).max(1));
-    round.saturating_mul(rounds)
+    round.saturating_mul(rounds).saturating_add(text_size(spec))
 }
 
-/// Tasks and steps of an accepted job.
+/// The same for an accepted job.
 fn size(job: &Job) -> usize {
-    job.rounds.iter().flatten().map(|s| s.tasks.len() + 1).sum()
+    let steps = job.rounds.iter().flatten();
+    let tasks: usize = steps.map(|s| s.tasks.len() + 1).sum();
+    tasks.saturating_add(text_size(&job.spec))
 }
 
-/// Whether a new job is large, and would bring the tasks and steps of all open jobs above `max`. A job that is
+/// Whether a new job is large, and would bring the sizes of all open large jobs above `max`. A job that is
 /// above `max` by itself is accepted while no other large job is open.
 pub(crate) fn has_no_room(state: &State, spec: &JobSpec, max: usize) -> bool {
     let new = submitted_size(spec);
@@ -78,8 +88,48 @@
 
 #[cfg(test)]
 mod tests {
+    use zinnia_plan::Batch;
+    use zinnia_plan::Record;
+    use zinnia_plan::Step;
+    use zinnia_types::JobId;
+
     use super::*;
 
+    /// Guards against jobs whose lists take all the memory while their tasks and steps are few.
+    #[test]
+    fn long_lists_count_as_tasks() {
+        let step = Step {
+            count: 1,
+            depends_on: (0..60_000).collect(),
+            ..Step::default()
+        };
+        let spec = JobSpec {
+            text: String::new(),
+            steps: vec![step],
+            repeat: None,
+        };
+        let mut state = State::default();
+        let job = |n| Record::Submit {
+            id: JobId(n),
+            queue: "plan".to_owned(),
+            route: None,
+            team: String::new(),
+            spec: spec.clone(),
+        };
+        let most_jobs = 10;
+        let max = most_jobs * 60_000 * size_of::<usize>() / TASK_BYTES;
+        let mut accepted = 0;
+        while !has_no_room(&state, &spec, max) {
+            accepted += 1;
+            assert!(accepted <= most_jobs, "{accepted} jobs are accepted");
+            state.apply(&Batch {
+                records: vec![job(accepted as u64)],
+                ..Batch::default()
+            });
+        }
+        assert!(accepted + 2 >= most_jobs, "{accepted} jobs are accepted");
+    }
+
     /// Guards against large messages that are handled at once without a bound, and against one that never is.
     #[test]
     fn large_messages_share_a_bound() {
--- a/crates/zinnia-plan/src/spec.rs
+++ b/crates/zinnia-plan/src/spec.rs
@@ -208,6 +208,17 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Bytes of the texts and lists of the description, which are kept until the job ends.
+    pub fn text_bytes(&self) -> usize {
+        let of_step = |s: &Step| {
+            let lists = s.depends_on.len().saturating_mul(size_of::<usize>());
+            let texts = s.label.len() + s.data_rack.len() + s.image.len();
+            lists.saturating_add(texts)
+        };
+        let steps = self.steps.iter().map(of_step);
+        steps.fold(self.text.len(), usize::saturating_add)
+    }
+
     /// Returns why the job cannot run as described, or `None` if it can.
     pub fn find_error(&self) -> Option<String> {
         if self.steps.is_empty() {
