--- a/crates/zinnia-control/src/requests.rs
+++ b/crates/zinnia-control/src/requests.rs
@@ -322,6 +322,18 @@
                 })
             }
             CallerAction::Submit(Err(why)) => Decision::Answer(Answer::Invalid(why)),
+            CallerAction::Cancel | CallerAction::Get
+                if is_foreign(state.jobs.get(&id), |job| {
+                    state.may_access(job, queue, &team)
+                }) =>
+            {
+                metrics::counter!("zinnia_foreign_requests_total").increment(1);
+                tracing::info!(
+                    event = "foreign", job = %id, queue = queue.name, team,
+                    "the job belongs to another queue or team; it is not shown"
+                );
+                Decision::Answer(Answer::Gone)
+            }
             CallerAction::Cancel => Decision::Record(Record::Cancel(id)),
             CallerAction::Get => Decision::Answer(match state.jobs.get(&id) {
                 Some(job) => Answer::Job {
@@ -417,6 +429,11 @@
     }
 }
 
+/// Whether a job exists to which the caller has no access.
+fn is_foreign(job: Option<&Job>, may_access: impl Fn(&Job) -> bool) -> bool {
+    job.is_some_and(|job| !may_access(job))
+}
+
 /// Reports a request that arrived late. One with a deadline on the clock of another leader may be in time.
 fn report_late(path: &str, deadline: LeaderTime, now: LeaderTime) {
     if deadline.term != now.term {
--- a/crates/zinnia-plan/src/lib.rs
+++ b/crates/zinnia-plan/src/lib.rs
@@ -6,6 +6,7 @@
 //! proposes records and requests orders, polls and policy queries. Neither accesses a clock, a file
 //! or a socket.
 
+mod access;
 mod admission;
 mod assignment;
 mod backlog;
