--- a/crates/zinnia-control/tests/start.rs
+++ b/crates/zinnia-control/tests/start.rs
@@ -1,7 +1,5 @@
 //! Starts of processes.
 
-#![expect(clippy::expect_used, reason = "a test must stop if its setup fails")]
-
 mod common;
 
 use std::net::SocketAddr;
